--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,4 +1,4 @@
-//! Every decision of quayplank. The types, events and actions that it speaks in are in `src/interface.rs`.
+//! Every decision of liftrelay. The types, events and actions that it speaks in are in `src/interface.rs`.
 //!
 //! The ordinary path is C-JDBC's least pending requests first: each router counts its own attempts that are
 //! out at each member and sends a read to the group's replica with the fewest, ties in turn; writes and reads
--- a/src/bin/quayplank-benchlink.rs
+++ b/src/bin/liftrelay-simhost.rs
@@ -1,6 +1,6 @@
 //! Speaks the simulator's wire on standard input and output for any number of routers.
 
-use quayplank::wire::{Host, WireError};
+use liftrelay::wire::{Host, WireError};
 use std::io::{ErrorKind, Read, Write};
 use std::process::ExitCode;
 
@@ -31,7 +31,7 @@
         }
         let reply = host.batch(now, word(4), &body)?;
         for warning in host.warnings.drain(..) {
-            eprintln!("quayplank-benchlink: {warning}");
+            eprintln!("liftrelay-simhost: {warning}");
         }
         output.write_all(&(reply.len() as u32).to_be_bytes()).map_err(io)?;
         output.write_all(&reply).map_err(io)?;
@@ -43,7 +43,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("quayplank-benchlink: {e}");
+            eprintln!("liftrelay-simhost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! quayplank decides where a client library for a replicated store sends each read and write.
+//! liftrelay decides where a client library for a replicated store sends each read and write.
 //!
 //! The [`Router`] does no I/O and reads no clock: the host hands it [`Event`]s with the present time and
 //! carries out the [`Action`]s that it asks for.
 //!
 //! ```
-//! use quayplank::*;
+//! use liftrelay::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! liftrelay: the proxy.
+
+fn main() {
+    println!("liftrelay {}", env!("CARGO_PKG_VERSION"));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small driver of one router: it keeps the clock and hands back what the router asks for.
 #![allow(dead_code, missing_docs)]
 
-use quayplank::*;
+use liftrelay::*;
 
 pub const MS: Micros = 1000;
 /// Class numbers of [`settings`].
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use quayplank::*;
+use liftrelay::*;
 
 fn sends(actions: &[Action], to: u64) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Send { server, .. } if server.0 == to)).count()
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use quayplank::*;
+use liftrelay::*;
 
 #[test]
 fn reads_go_to_the_replica_with_fewest_pending() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use quayplank::*;
+use liftrelay::*;
 use std::collections::BTreeMap;
 
 const GRACE: Micros = 20 * MS;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -2,7 +2,7 @@
 
 #![allow(missing_docs)]
 
-use quayplank::wire::Host;
+use liftrelay::wire::Host;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -61,7 +61,7 @@
 }
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_quayplank-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_liftrelay-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
