Serve the platform's protocol on real sockets

The reducer (src/core) owns the router, the table of requests, timers, deadlines and the pool's books; the platform front and the pg codec feed it; src/net reads and writes on small threads.

--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,70 @@
+//! What the proxy is told at its start: `GW_CONFIG`, and what the other variables say in its place.
+
+use crate::Settings;
+use crate::net::discovery::List;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// The configuration of one real proxy.
+#[derive(Debug, Deserialize)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    #[serde(default)]
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is reached.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    #[serde(default, deserialize_with = "hexadecimal")]
+    pub seed: u64,
+    #[serde(default)]
+    limits: Limits,
+    /// Descriptors that the process may hold.
+    #[serde(skip)]
+    pub sockets: usize,
+    /// The member list as this proxy last had it.
+    #[serde(default)]
+    pub known: List,
+    /// What the decisions are told.
+    pub settings: Settings,
+}
+
+#[derive(Debug, Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+fn hexadecimal<'de, D: serde::Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(from)?;
+    u64::from_str_radix(&text, 16).map_err(|_| serde::de::Error::custom("seed is not hexadecimal"))
+}
+
+/// The highest number of descriptors used, whatever the limit.
+const MOST_SOCKETS: usize = 1024;
+
+impl Config {
+    /// Reads the file that `GW_CONFIG` names; the other variables go before what it says.
+    pub fn from_env() -> Result<Config, String> {
+        let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        let mut config: Config = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let address = |name: &str, value: &mut SocketAddr| match std::env::var(name) {
+            Ok(text) => text.parse().map(|a| *value = a).map_err(|_| format!("{name} is no address: {text}")),
+            Err(_) => Ok(()),
+        };
+        address("GW_LISTEN", &mut config.listen)?;
+        address("GW_DISCOVERY", &mut config.discovery)?;
+        if let Ok(name) = std::env::var("GW_NAME") {
+            config.name = name;
+        }
+        config.sockets = config.limits.sockets.min(MOST_SOCKETS);
+        Ok(config)
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,453 @@
+//! The reducer: `(state, now, input) -> effects`. It owns the [`Router`], the table of requests, the timers and
+//! deadlines, and the books of the pool of links. It speaks of requests, attempts and outcomes and knows no
+//! wire: what a request asks (`W`) and what an answer holds (`A`) pass through it unopened.
+
+mod pool;
+mod timers;
+
+pub use pool::LinkId;
+
+use crate::{
+    Action, Effect as Repeats, Ended, Event, Member, Micros, Note, Outcome, Report, RequestId, Router,
+    ServerId, Settings,
+};
+use pool::Pool;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use timers::Timers;
+
+/// The number of a job, never used twice.
+pub type JobId = u64;
+
+/// Answers leave this long before the client's deadline, so that they arrive before it.
+const MARGIN: Micros = 5_000;
+/// The guard behind the module's own deadlines comes this much later.
+const GUARD: Micros = 3_000;
+/// A probe that has told nothing by then has failed.
+const PROBE_WAIT: Micros = 250_000;
+/// Between two looks for idle links that are old.
+const SWEEP: Micros = 1_000_000;
+/// Idle links are retired at this part of the time after which a member may close them.
+const IDLE_PART: Micros = 3;
+
+/// A request that a front has taken.
+pub struct Arrival<W> {
+    /// As the module wants it; `remaining` counts from now.
+    pub request: crate::Request,
+    /// What it asks.
+    pub work: Arc<W>,
+}
+
+/// What a link is to do next.
+pub enum Job<W> {
+    /// Carry an attempt.
+    Attempt {
+        /// What is asked.
+        work: Arc<W>,
+        /// For how long this proxy will wait.
+        allowed: Micros,
+    },
+    /// Ask for the member's report.
+    Probe,
+}
+
+/// How a job ended.
+pub struct Ending<A> {
+    /// Exactly as the protocol's table classifies it.
+    pub outcome: Outcome,
+    /// What the answer says of the member.
+    pub note: Note,
+    /// The report that came with it.
+    pub report: Report,
+    /// What goes to the client, if served.
+    pub answer: Option<A>,
+}
+
+impl<A> Ending<A> {
+    /// An ending that tells nothing but its outcome.
+    pub fn plain(outcome: Outcome) -> Self {
+        Ending { outcome, note: Note::default(), report: Report::default(), answer: None }
+    }
+}
+
+/// What happened.
+pub enum Input<W, A> {
+    /// A request was taken at its last byte.
+    Arrived(Arrival<W>),
+    /// Its client has gone.
+    Left(RequestId),
+    /// News of the member list.
+    List {
+        /// The entries are the whole list.
+        full: bool,
+        /// The entries, with where each is reached.
+        members: Vec<(Member, SocketAddr)>,
+    },
+    /// A link has ended its job.
+    Ended {
+        /// Which link.
+        link: LinkId,
+        /// Which job.
+        job: JobId,
+        /// How.
+        ending: Ending<A>,
+        /// The link may take another.
+        open: bool,
+    },
+    /// A link whose job was withdrawn is up and idle.
+    Idle(LinkId),
+    /// A link is no more.
+    Closed(LinkId),
+    /// What became of an [`Effect::Abandon`].
+    Abandoned {
+        /// Which job.
+        job: JobId,
+        /// Its last byte may have been handed to the kernel.
+        sent: bool,
+    },
+    /// Time has passed.
+    Due,
+}
+
+/// The final answer of a request.
+pub enum Verdict<A> {
+    /// Served with this.
+    Served(A),
+    /// Refused: trying again is harmless.
+    Refused {
+        /// Advice when to come back, 0 for none.
+        retry_after: Micros,
+    },
+    /// Failed.
+    Failed {
+        /// Something may have run.
+        ran: bool,
+    },
+}
+
+/// What is to be done.
+pub enum Effect<W, A> {
+    /// Open a link.
+    Open {
+        /// Its number.
+        link: LinkId,
+        /// Where to.
+        address: SocketAddr,
+    },
+    /// Hand a link its next job; a link that is not up yet does it then.
+    Carry {
+        /// Which link.
+        link: LinkId,
+        /// The job's number.
+        job: JobId,
+        /// The job.
+        what: Job<W>,
+    },
+    /// Withdraw a job, or cut its link if it may have been sent; answered by [`Input::Abandoned`] at once.
+    Abandon {
+        /// Which link.
+        link: LinkId,
+        /// Which job.
+        job: JobId,
+    },
+    /// Close an idle link.
+    Close(LinkId),
+    /// Give the one final answer.
+    Answer {
+        /// Whose.
+        request: RequestId,
+        /// The answer.
+        verdict: Verdict<A>,
+    },
+    /// A line for people.
+    Log(String),
+}
+
+enum Purpose {
+    Attempt { request: RequestId, attempt: u32 },
+    Probe,
+}
+
+struct Running {
+    link: LinkId,
+    server: ServerId,
+    sent: Micros,
+    purpose: Purpose,
+    /// It is being abandoned, for this reason.
+    dropping: Option<Outcome>,
+}
+
+struct Held<W> {
+    work: Arc<W>,
+    deadline: Micros,
+    attempts: u32,
+    safe: bool,
+    /// It must run at most once.
+    once: bool,
+    /// An attempt may have run.
+    ran: bool,
+}
+
+enum Alarm {
+    Module(u32),
+    Job(JobId),
+    Deadline(RequestId),
+    Sweep,
+}
+
+/// All state of the proxy's decisions, and the only place where it changes.
+pub struct Core<W, A> {
+    settings: Settings,
+    router: Router,
+    requests: BTreeMap<RequestId, Held<W>>,
+    jobs: BTreeMap<JobId, Running>,
+    last_job: JobId,
+    pool: Pool,
+    timers: Timers<Alarm>,
+    effects: Vec<Effect<W, A>>,
+}
+
+impl<W, A> Core<W, A> {
+    /// A core that knows no member yet; `links` is how many links it may hold.
+    pub fn new(settings: Settings, seed: u64, now: Micros, links: usize) -> Self {
+        let mut timers = Timers::default();
+        timers.set(now + SWEEP, Alarm::Sweep);
+        Core {
+            router: Router::new(settings.clone(), seed, now),
+            settings,
+            requests: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            last_job: 0,
+            pool: Pool::new(links),
+            timers,
+            effects: Vec::new(),
+        }
+    }
+
+    /// When [`Input::Due`] is wanted next.
+    pub fn due(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// Requests that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes one input and returns what is to be done about it, in order.
+    pub fn step(&mut self, now: Micros, input: Input<W, A>) -> Vec<Effect<W, A>> {
+        match input {
+            Input::Arrived(arrival) => self.arrived(now, arrival),
+            Input::Left(request) => {
+                if self.requests.remove(&request).is_some() {
+                    self.tell(now, Event::ClientLeft(request));
+                }
+            }
+            Input::List { full, members } => {
+                self.pool.listed(full, &members, &mut |link| self.effects.push(Effect::Close(link)));
+                let members = members.into_iter().map(|(m, _)| m).collect();
+                self.tell(now, Event::List { full, members });
+            }
+            Input::Ended { link, job, ending, open } => {
+                self.pool.free(link, open, now);
+                self.settle(now, job, ending);
+            }
+            Input::Idle(link) => self.pool.free(link, true, now),
+            Input::Closed(link) => {
+                self.pool.closed(link);
+                // Guards against a link that ends without a word: nobody knows how far its job came.
+                let orphans = self.jobs.iter().filter(|(_, r)| r.link == link);
+                for job in orphans.map(|(job, _)| *job).collect::<Vec<_>>() {
+                    self.settle(now, job, Ending::plain(Outcome::Reset));
+                }
+            }
+            Input::Abandoned { job, sent } => self.abandoned(now, job, sent),
+            Input::Due => self.due_now(now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn due_now(&mut self, now: Micros) {
+        while let Some(alarm) = self.timers.pop(now) {
+            match alarm {
+                Alarm::Module(token) => self.tell(now, Event::Timer(token)),
+                Alarm::Job(job) => self.abandon(job, Outcome::TimedOut),
+                Alarm::Deadline(request) => self.overdue(now, request),
+                Alarm::Sweep => {
+                    self.timers.set(now + SWEEP, Alarm::Sweep);
+                    let old = now.saturating_sub(self.settings.conn_idle / IDLE_PART);
+                    self.pool.retire(old, &mut |link| self.effects.push(Effect::Close(link)));
+                }
+            }
+        }
+    }
+
+    fn arrived(&mut self, now: Micros, Arrival { mut request, work }: Arrival<W>) {
+        let id = request.id;
+        let Some(class) = self.settings.classes.get(request.class) else {
+            return self.answer(id, Verdict::Failed { ran: false });
+        };
+        if self.requests.len() >= self.settings.most_held {
+            return self.answer(id, Verdict::Refused { retry_after: 0 });
+        }
+        let (safe, once) = (class.effect == Repeats::Safe, class.effect == Repeats::Unsafe);
+        request.remaining = request.remaining.saturating_sub(MARGIN).max(1_000);
+        let deadline = now + request.remaining;
+        self.requests.insert(id, Held { work, deadline, attempts: 0, safe, once, ran: false });
+        self.timers.set(deadline + GUARD, Alarm::Deadline(id));
+        self.tell(now, Event::Request(request));
+    }
+
+    /// Guards against a request that the module still holds at its deadline: the client is owed its answer.
+    fn overdue(&mut self, now: Micros, id: RequestId) {
+        let Some(held) = self.requests.remove(&id) else { return };
+        let out = self
+            .jobs
+            .values()
+            .any(|r| matches!(r.purpose, Purpose::Attempt { request, .. } if request == id));
+        let harmless = held.safe || !(held.ran || out);
+        let verdict = if harmless {
+            Verdict::Refused { retry_after: 0 }
+        } else {
+            Verdict::Failed { ran: held.ran || out }
+        };
+        self.effects.push(Effect::Log(format!("request {id} was held past its deadline")));
+        self.answer(id, verdict);
+        self.tell(now, Event::ClientLeft(id));
+    }
+
+    fn answer(&mut self, request: RequestId, verdict: Verdict<A>) {
+        self.effects.push(Effect::Answer { request, verdict });
+    }
+
+    /// Tells the module, and carries out what it asks for.
+    fn tell(&mut self, now: Micros, event: Event) {
+        let mut todo = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = todo.pop_front() {
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { request, server, timeout } => {
+                        todo.extend(self.send(now, request, server, timeout));
+                    }
+                    Action::Refuse { request, retry_after } => {
+                        if self.requests.remove(&request).is_some() {
+                            self.answer(request, Verdict::Refused { retry_after });
+                        }
+                    }
+                    Action::Fail(request) => {
+                        if let Some(held) = self.requests.remove(&request) {
+                            self.answer(request, Verdict::Failed { ran: held.ran });
+                        }
+                    }
+                    Action::Cancel { request, attempt } => {
+                        let wanted = |p: &Purpose| matches!(p, Purpose::Attempt { request: r, attempt: a } if (*r, *a) == (request, attempt));
+                        let job = self.jobs.iter().find(|(_, r)| wanted(&r.purpose)).map(|(job, _)| *job);
+                        job.into_iter().for_each(|job| self.abandon(job, Outcome::Cancelled));
+                    }
+                    Action::Probe(server) => {
+                        if !self.start(now, server, Purpose::Probe, PROBE_WAIT, Job::Probe) {
+                            todo.push_back(Event::Probed {
+                                server,
+                                answered: false,
+                                report: Report::default(),
+                            });
+                        }
+                    }
+                    Action::Timer { token, after } => self.timers.set(now + after, Alarm::Module(token)),
+                    Action::Subscribe => {}
+                    Action::Log(text) => self.effects.push(Effect::Log(text)),
+                }
+            }
+        }
+    }
+
+    /// Starts an attempt, or returns the event that says why it was not sent.
+    fn send(&mut self, now: Micros, request: RequestId, server: ServerId, timeout: Micros) -> Option<Event> {
+        let held = self.requests.get_mut(&request)?;
+        let attempt = held.attempts;
+        held.attempts += 1;
+        let allowed = timeout.min(held.deadline.saturating_sub(now)).max(1_000);
+        let work = held.work.clone();
+        // Guards against a second effect, whatever the module asks for.
+        let barred = held.ran && held.once;
+        if !barred && attempt < self.settings.max_attempts {
+            let purpose = Purpose::Attempt { request, attempt };
+            if self.start(now, server, purpose, allowed, Job::Attempt { work, allowed }) {
+                return None;
+            }
+        }
+        Some(Event::Outcome(Ended {
+            request,
+            attempt,
+            server,
+            outcome: Outcome::Moot,
+            elapsed: 0,
+            note: Note::default(),
+            finished: false,
+            report: Report::default(),
+        }))
+    }
+
+    fn start(&mut self, now: Micros, server: ServerId, purpose: Purpose, wait: Micros, what: Job<W>) -> bool {
+        let taken = self.pool.take(server);
+        if let Some(link) = taken.evicted {
+            self.effects.push(Effect::Close(link));
+        }
+        let Some((link, fresh)) = taken.link else { return false };
+        if let Some(address) = fresh {
+            self.effects.push(Effect::Open { link, address });
+        }
+        self.last_job += 1;
+        let job = self.last_job;
+        self.jobs.insert(job, Running { link, server, sent: now, purpose, dropping: None });
+        self.timers.set(now + wait, Alarm::Job(job));
+        self.effects.push(Effect::Carry { link, job, what });
+        true
+    }
+
+    fn abandon(&mut self, job: JobId, why: Outcome) {
+        if let Some(running) = self.jobs.get_mut(&job)
+            && running.dropping.is_none()
+        {
+            running.dropping = Some(why);
+            self.effects.push(Effect::Abandon { link: running.link, job });
+        }
+    }
+
+    fn abandoned(&mut self, now: Micros, job: JobId, sent: bool) {
+        let Some(running) = self.jobs.get(&job) else { return };
+        let why = running.dropping.unwrap_or(Outcome::Cancelled);
+        if sent {
+            self.pool.free(running.link, false, now);
+        }
+        // What was not handed to the kernel in its time was never sent.
+        let outcome = if sent || why == Outcome::Cancelled { why } else { Outcome::Moot };
+        self.settle(now, job, Ending::plain(outcome));
+    }
+
+    fn settle(&mut self, now: Micros, job: JobId, ending: Ending<A>) {
+        let Some(Running { server, sent, purpose, .. }) = self.jobs.remove(&job) else { return };
+        let Ending { outcome, note, report, answer } = ending;
+        let Purpose::Attempt { request, attempt } = purpose else {
+            let answered = outcome == Outcome::Ok;
+            return self.tell(now, Event::Probed { server, answered, report });
+        };
+        if let Some(held) = self.requests.get_mut(&request) {
+            use Outcome::{ConnectFailed, Full, Miss, Moot};
+            held.ran |= !matches!(outcome, ConnectFailed | Full | Miss | Moot);
+            if outcome == Outcome::Ok
+                && let Some(answer) = answer
+            {
+                self.requests.remove(&request);
+                self.answer(request, Verdict::Served(answer));
+            }
+        }
+        let finished = !self.requests.contains_key(&request);
+        let elapsed = now.saturating_sub(sent);
+        let ended = Ended { request, attempt, server, outcome, elapsed, note, finished, report };
+        self.tell(now, Event::Outcome(ended));
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,8 +73,9 @@
     Waits(Micros),
 }
 
-/// What a router is told when it starts.
-#[derive(Clone, Debug)]
+/// What a router is told when it starts. The one settings type: the adapter and the proxy both read it.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(try_from = "crate::wire::Conf")]
 pub struct Settings {
     /// Routers that share the servers, this one included.
     pub instances: u32,
@@ -116,6 +117,18 @@
     pub fall_time: Micros,
     /// The price of one zone crossing for each request, as a share of the result.
     pub crossing_price: f64,
+    /// The names of the classes, by index.
+    pub class_names: Vec<String>,
+    /// The names of the values in a load report, in order.
+    pub report_fields: Vec<String>,
+    /// The time from which the simulator's wire counts positions.
+    pub positions_from: Micros,
+    /// A connection that is not up within this has failed.
+    pub dial_timeout: Micros,
+    /// A member closes a connection that was idle for this long.
+    pub conn_idle: Micros,
+    /// The most requests that one router may hold open.
+    pub most_held: usize,
 }
 
 /// What the list says of a server.
@@ -337,6 +350,12 @@
             fall_multiple: 2.0,
             fall_time: 2_000_000,
             crossing_price: 0.0,
+            class_names: Vec::new(),
+            report_fields: Vec::new(),
+            positions_from: 0,
+            dial_timeout: 250_000,
+            conn_idle: 15_000_000,
+            most_held: 40_000,
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,8 +57,15 @@
 //! ```
 
 mod balance;
+mod config;
+mod core;
+mod front;
 mod interface;
+mod net;
+mod pg;
 pub mod wire;
 
 pub use balance::Router;
+pub use config::Config;
 pub use interface::*;
+pub use net::serve;
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,38 @@
+//! The one clock, and the one place where times on sockets are converted.
+//!
+//! On sockets, every position, start and deadline is a Unix time in milliseconds. In the core all times are
+//! microseconds on a clock that starts at Unix time and then only advances. Positions come rounded down and
+//! commits rounded up, so a whole millisecond keeps its meaning here.
+
+use crate::Micros;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A clock that reads Unix time once and never goes back after.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    base: Micros,
+    from: Instant,
+}
+
+impl Clock {
+    /// Starts it.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: unix.as_micros() as Micros, from: Instant::now() }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.base + self.from.elapsed().as_micros() as Micros
+    }
+
+    /// When a time on it comes, as the system counts.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.from + Duration::from_micros(at.saturating_sub(self.base))
+    }
+}
+
+/// A position or a start on the wire.
+pub fn from_unix_ms(ms: u64) -> Micros {
+    ms.saturating_mul(1000)
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,306 @@
+//! The sockets: threads that read and write, and the one loop that feeds the reducer and carries out what it
+//! asks for. The loop itself never blocks on a socket.
+
+pub mod client;
+pub mod clock;
+pub mod discovery;
+pub mod link;
+
+use crate::config::Config;
+use crate::core::{Core, Effect, Input, LinkId};
+use crate::front::platform::{Platform, Said};
+use crate::front::{Answer, ClientId, Desk, Out, Work};
+use crate::{Micros, Settings};
+use clock::Clock;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Messages to the loop that may wait; whoever sends more waits.
+const UNREAD: usize = 8192;
+/// Threads need little: buffers are on the heap.
+const STACK: usize = 128 * 1024;
+/// Descriptors kept for the listener, discovery, logs and the like.
+const SPARE: usize = 40;
+/// Without news of the list, the proxy is ready this long after its start.
+const READY_AFTER: Micros = 400_000;
+/// After SIGTERM: the front layer may send new connections for 0.4 s, so closing starts after it ...
+const CLOSE_AFTER: Micros = 450_000;
+/// ... and new connections are answered until this, at least.
+const SERVE_FOR: Micros = 900_000;
+/// How often the loop looks whether all is done after SIGTERM.
+const LOOK: Micros = 20_000;
+
+/// What reaches the loop.
+pub enum Message {
+    /// For the core.
+    Core(Input<Work, Answer>),
+    /// News of the member list.
+    News(Input<Work, Answer>),
+    /// A new connection.
+    Accepted(TcpStream),
+    /// From a client's reader.
+    Client(ClientId, Said),
+    /// SIGTERM or SIGINT.
+    Terminate,
+}
+
+/// Where messages to the loop go.
+pub type Messages = Sender<Message>;
+
+/// Starts a thread with a small stack; fails where the system has none left.
+pub fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    std::thread::Builder::new().name(name.into()).stack_size(STACK).spawn(run).map(drop)
+}
+
+/// Serves until it is told to end.
+pub fn serve(config: &Config) -> std::io::Result<()> {
+    let listener = TcpListener::bind(config.listen)?;
+    let clock = Clock::start();
+    let (messages, inbox) = bounded(UNREAD);
+    let budget = config.sockets.saturating_sub(SPARE).max(2);
+    let settings = Arc::new(config.settings.clone());
+    let core = Core::new(config.settings.clone(), config.seed, clock.now(), budget / 2);
+    let mut host = Host {
+        clock,
+        core,
+        platform: Platform::default(),
+        desk: Desk::default(),
+        settings,
+        messages: messages.clone(),
+        links: HashMap::new(),
+        clients: HashMap::new(),
+        last_client: 0,
+        most_clients: budget - budget / 2,
+        seed: config.seed,
+        ready_at: Some(clock.now() + READY_AFTER),
+        ending: None,
+    };
+    let known = Input::List { full: true, members: config.known.members() };
+    host.core(clock.now(), known);
+    signals(messages.clone())?;
+    let (address, rev, news) = (config.discovery, config.known.rev, messages.clone());
+    spawn("discovery", move || discovery::watch(address, rev, &news))?;
+    tracing::info!(name = config.name, listen = %listener.local_addr()?, "serving");
+    spawn("accept", move || accept(&listener, &messages))?;
+    host.run(&inbox);
+    tracing::info!("ended");
+    Ok(())
+}
+
+fn signals(messages: Messages) -> std::io::Result<()> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+    spawn("signals", move || {
+        for _ in signals.forever() {
+            let _ = messages.send(Message::Terminate);
+        }
+    })
+}
+
+fn accept(listener: &TcpListener, messages: &Messages) {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                if messages.send(Message::Accepted(stream)).is_err() {
+                    return;
+                }
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+            Err(e) => {
+                // Guards against a full table of descriptors: the connection waits in the backlog.
+                tracing::warn!(error = %e, "no connection accepted");
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+}
+
+struct Host {
+    clock: Clock,
+    core: Core<Work, Answer>,
+    platform: Platform,
+    desk: Desk,
+    settings: Arc<Settings>,
+    messages: Messages,
+    links: HashMap<LinkId, link::Handle>,
+    clients: HashMap<ClientId, client::Handle>,
+    last_client: ClientId,
+    most_clients: usize,
+    seed: u64,
+    ready_at: Option<Micros>,
+    /// SIGTERM has come: when, and whether connections are being closed.
+    ending: Option<(Micros, bool)>,
+}
+
+impl Host {
+    fn run(&mut self, inbox: &Receiver<Message>) {
+        loop {
+            let mut due = self.core.due();
+            due = [due, self.ready_at].into_iter().flatten().min();
+            if self.ending.is_some() {
+                due = Some(due.unwrap_or(Micros::MAX).min(self.clock.now() + LOOK));
+            }
+            let message = match due {
+                Some(at) if at <= self.clock.now() => inbox.try_recv().ok(),
+                Some(at) => match inbox.recv_deadline(self.clock.instant(at)) {
+                    Ok(message) => Some(message),
+                    Err(RecvTimeoutError::Timeout) => None,
+                    Err(RecvTimeoutError::Disconnected) => return,
+                },
+                None => match inbox.recv() {
+                    Ok(message) => Some(message),
+                    Err(_) => return,
+                },
+            };
+            let now = self.clock.now();
+            if let Some(message) = message {
+                self.take(now, message);
+            }
+            if self.core.due().is_some_and(|at| at <= now) {
+                self.core(now, Input::Due);
+            }
+            if self.ready_at.is_some_and(|at| at <= now) {
+                self.ready(now);
+            }
+            if let Some((since, closing)) = self.ending {
+                if !closing && now >= since + CLOSE_AFTER {
+                    self.ending = Some((since, true));
+                    let outs = self.platform.close();
+                    self.carry_out(now, outs);
+                }
+                if now >= since + SERVE_FOR && self.platform.open() == 0 && self.core.owed() == 0 {
+                    self.linger();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Lets the writers finish: a client's thread drops its stream once all is written.
+    fn linger(&mut self) {
+        self.clients.clear();
+        std::thread::sleep(Duration::from_millis(50));
+    }
+
+    fn take(&mut self, now: Micros, message: Message) {
+        match message {
+            Message::Core(input) => {
+                if let Input::Closed(link) = &input {
+                    self.links.remove(link);
+                }
+                self.core(now, input);
+            }
+            Message::News(input) => {
+                self.core(now, input);
+                self.ready(now);
+            }
+            Message::Accepted(stream) => self.accepted(now, stream),
+            Message::Client(id, said) => {
+                let outs = self.platform.said(&mut self.desk, now, id, said);
+                self.carry_out(now, outs);
+            }
+            Message::Terminate => {
+                tracing::info!("told to end");
+                self.ending.get_or_insert((now, false));
+            }
+        }
+    }
+
+    fn ready(&mut self, now: Micros) {
+        if self.ready_at.take().is_some() {
+            let outs = self.platform.ready(&mut self.desk, now);
+            self.carry_out(now, outs);
+        }
+    }
+
+    fn accepted(&mut self, now: Micros, stream: TcpStream) {
+        if self.clients.len() >= self.most_clients {
+            let Some(id) = self.platform.idle() else {
+                tracing::warn!("no room for another client");
+                return;
+            };
+            let outs = self.platform.evict(id);
+            self.carry_out(now, outs);
+        }
+        self.last_client += 1;
+        let id = self.last_client;
+        let (settings, messages) = (self.settings.clone(), self.messages.clone());
+        let Some(handle) = client::Handle::open(id, stream, settings, self.clock, messages) else {
+            tracing::warn!("no thread for another client");
+            return;
+        };
+        self.clients.insert(id, handle);
+        let secret = crate::pg::statement::hash(&[self.seed.to_be_bytes(), id.to_be_bytes()].concat()) as u32;
+        let outs = self.platform.said(&mut self.desk, now, id, Said::Connected { secret });
+        self.carry_out(now, outs);
+    }
+
+    fn carry_out(&mut self, now: Micros, outs: Vec<Out>) {
+        for out in outs {
+            match out {
+                Out::Write(id, bytes) => {
+                    if let Some(client) = self.clients.get(&id)
+                        && !client.write(bytes)
+                    {
+                        client.cut();
+                    }
+                }
+                Out::Close(id) => drop(self.clients.remove(&id)),
+                Out::Credit(id) => {
+                    if let Some(client) = self.clients.get(&id) {
+                        client.credit();
+                    }
+                }
+                Out::Take(arrival) => self.core(now, Input::Arrived(arrival)),
+                Out::Left(request) => self.core(now, Input::Left(request)),
+            }
+        }
+    }
+
+    /// One step of the reducer, and all that follows from it.
+    fn core(&mut self, now: Micros, input: Input<Work, Answer>) {
+        for effect in self.core.step(now, input) {
+            match effect {
+                Effect::Open { link, address } => {
+                    let dial = Duration::from_micros(self.settings.dial_timeout);
+                    match link::Handle::open(link, address, dial, self.messages.clone()) {
+                        Some(handle) => drop(self.links.insert(link, handle)),
+                        None => tracing::warn!("no thread for another link"),
+                    }
+                }
+                Effect::Carry { link, job, what } => {
+                    let carried = self.links.get_mut(&link).is_some_and(|l| l.carry(job, what));
+                    if !carried {
+                        let ending = crate::core::Ending::plain(crate::Outcome::ConnectFailed);
+                        self.links.remove(&link);
+                        self.core(now, Input::Ended { link, job, ending, open: false });
+                        self.core(now, Input::Closed(link));
+                    }
+                }
+                Effect::Abandon { link, job } => {
+                    let sent = self.links.get(&link).is_none_or(|l| l.abandon(job));
+                    if sent {
+                        self.links.remove(&link);
+                    }
+                    self.core(now, Input::Abandoned { job, sent });
+                }
+                Effect::Close(link) => {
+                    if let Some(handle) = self.links.remove(&link) {
+                        handle.cut();
+                    }
+                }
+                Effect::Answer { request, verdict } => {
+                    if let Some(id) = self.desk.close(request) {
+                        let outs = self.platform.answer(&mut self.desk, now, id, request, verdict);
+                        self.carry_out(now, outs);
+                    }
+                }
+                Effect::Log(text) => tracing::info!("{text}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/pg/statement.rs
@@ -0,0 +1,127 @@
+//! What decisions need of a statement: the fields of its comment and its key, as slices of the text. All the
+//! rest goes on as the bytes that came.
+
+use std::ops::Range;
+
+/// The fields of a statement, as they stand in its text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fields<'a> {
+    /// `c`: the class.
+    pub class: Option<&'a [u8]>,
+    /// `d`: the milliseconds that the client waits, and where they stand.
+    pub wait: Option<(u64, Range<usize>)>,
+    /// `cluster`: the group.
+    pub group: Option<u32>,
+    /// `after`: the position that a read must see, as Unix time in milliseconds.
+    pub after: Option<u64>,
+    /// `r=1`: a client's retry.
+    pub repeat: bool,
+    /// `id`, present or not.
+    pub id: bool,
+    /// The first quoted literal.
+    pub key: Option<&'a [u8]>,
+    /// Where the comment's fields begin and end.
+    pub comment: Range<usize>,
+}
+
+/// A number without sign that fits.
+pub fn number(text: &[u8]) -> Option<u64> {
+    std::str::from_utf8(text).ok()?.parse().ok()
+}
+
+/// Reads the statement once, left to right: literals first, so that nothing within them passes for a comment.
+pub fn fields(text: &[u8]) -> Fields<'_> {
+    let mut found = Fields::default();
+    let mut at = 0;
+    while at < text.len() {
+        match text[at] {
+            b'\'' | b'"' => {
+                let quote = text[at];
+                let from = at + 1;
+                at = from;
+                while at < text.len() && text[at] != quote {
+                    at += 1;
+                }
+                if quote == b'\'' && found.key.is_none() {
+                    found.key = text.get(from..at);
+                }
+                at += 1;
+            }
+            b'/' if text.get(at + 1) == Some(&b'*') => {
+                let from = at + 2;
+                let end = (from..text.len()).find(|e| text[*e..].starts_with(b"*/")).unwrap_or(text.len());
+                comment(text, from, end, &mut found);
+                at = end + 2;
+            }
+            _ => at += 1,
+        }
+    }
+    found
+}
+
+fn comment<'a>(text: &'a [u8], from: usize, end: usize, found: &mut Fields<'a>) {
+    found.comment = from..end;
+    let mut at = from;
+    for pair in text[from..end].split(|b| *b == b',') {
+        let start = at;
+        at += pair.len() + 1;
+        let Some(eq) = pair.iter().position(|b| *b == b'=') else { continue };
+        let (name, value) = (pair[..eq].trim_ascii(), pair[eq + 1..].trim_ascii());
+        let lead = pair[eq + 1..].len() - pair[eq + 1..].trim_ascii_start().len();
+        let value_at = start + eq + 1 + lead;
+        match name {
+            b"id" => found.id = !value.is_empty(),
+            b"c" => found.class = Some(value),
+            b"d" => found.wait = number(value).map(|d| (d, value_at..value_at + value.len())),
+            b"cluster" => found.group = number(value).and_then(|g| u32::try_from(g).ok()),
+            b"after" => found.after = number(value),
+            b"r" => found.repeat = value == b"1",
+            _ => {}
+        }
+    }
+}
+
+/// The session that a key names: its hexadecimal value, or a hash of it; never 0, which means none.
+pub fn session(key: &[u8]) -> u64 {
+    let hex = std::str::from_utf8(key).ok().filter(|k| k.len() <= 16);
+    hex.and_then(|k| u64::from_str_radix(k, 16).ok()).unwrap_or_else(|| hash(key)).max(1)
+}
+
+/// FNV-1a: stable over restarts and machines.
+pub fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const READ: &[u8] = b"SELECT payload FROM entries WHERE ref = '7f3a9c21e0b4d655' \
+        /* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123 */";
+
+    #[test]
+    fn the_protocols_example_is_read() {
+        let f = fields(READ);
+        assert_eq!(f.class, Some(&b"basket"[..]));
+        let (wait, place) = f.wait.unwrap();
+        assert_eq!((wait, &READ[place]), (480, &b"480"[..]));
+        assert_eq!((f.group, f.after, f.id, f.repeat), (Some(2), Some(1_767_225_600_123), true, false));
+        assert_eq!(session(f.key.unwrap()), 0x7f3a_9c21_e0b4_d655);
+    }
+
+    #[test]
+    fn a_literal_cannot_pass_for_a_comment() {
+        let f = fields(b"INSERT INTO entries VALUES ('k', '/* c=x,d=9 */') /* c=order,d=1 */");
+        assert_eq!(f.class, Some(&b"order"[..]));
+        assert_eq!(f.key, Some(&b"k"[..]));
+    }
+
+    #[test]
+    fn what_is_missing_or_cut_stays_unset() {
+        for text in [&b""[..], b"/*", b"'", b"/* c", b"/* d=x,cluster=-1 */", b"/* d=99999999999999999999 */"]
+        {
+            let f = fields(text);
+            assert_eq!((f.class, f.wait, f.group), (None, None, None), "{text:?}");
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -62,8 +62,9 @@
     }
 }
 
+/// The settings as the simulator and the proxy's configuration spell them.
 #[derive(Deserialize)]
-struct Conf {
+pub(crate) struct Conf {
     #[serde(default = "one")]
     instances: u32,
     #[serde(default)]
@@ -90,8 +91,22 @@
     1
 }
 
+fn dial_timeout_us() -> u64 {
+    Settings::default().dial_timeout
+}
+
+fn conn_idle_us() -> u64 {
+    Settings::default().conn_idle
+}
+
+fn most_held() -> usize {
+    Settings::default().most_held
+}
+
 #[derive(Deserialize)]
 struct ConfClass {
+    #[serde(default)]
+    name: String,
     aim_us: u64,
     deadline_us: u64,
     effect: String,
@@ -129,6 +144,12 @@
     #[serde(default)]
     cancel: bool,
     max_attempts: u32,
+    #[serde(default = "dial_timeout_us")]
+    dial_timeout_us: u64,
+    #[serde(default = "conn_idle_us")]
+    conn_idle_us: u64,
+    #[serde(default = "most_held")]
+    most_held: usize,
     #[serde(default)]
     max_retry_after_us: u64,
     #[serde(default)]
@@ -165,63 +186,77 @@
     fields: Vec<String>,
 }
 
+impl TryFrom<Conf> for Settings {
+    type Error = WireError;
+
+    fn try_from(conf: Conf) -> Result<Settings, WireError> {
+        let fam = &conf.family_info;
+        let mut classes = Vec::new();
+        for (i, c) in conf.request_classes.iter().enumerate() {
+            let need = match fam.freshness.get(i).map(String::as_str) {
+                Some("update") => Need::Write,
+                Some("latest") => Need::Latest,
+                Some("own_writes") => Need::OwnWrites,
+                Some("recent") => Need::Recent(fam.class_bound_us.get(i).copied().unwrap_or(0)),
+                Some("loose") => Need::Any,
+                other => return bad(format!("freshness of class {i} is {other:?}")),
+            };
+            let effect = match c.effect.as_str() {
+                "safe" => Effect::Safe,
+                "keyed" => Effect::Keyed { anywhere: c.key_scope == "all", window: c.window_us },
+                "unsafe" => Effect::Unsafe,
+                other => return bad(format!("effect of class {i} is {other:?}")),
+            };
+            classes.push(Class {
+                need,
+                effect,
+                aim: c.aim_us,
+                deadline: c.deadline_us,
+                worth: c.credit,
+                late_share: c.late_share,
+            });
+        }
+        Ok(Settings {
+            instances: conf.instances,
+            zone: conf.zone,
+            resolution: conf.resolution_us,
+            classes,
+            quotas: conf.tenants.iter().map(|t| t.quota_per_s).collect(),
+            over_quota_share: conf.over_share_worth,
+            when_behind: match fam.when_behind.as_str() {
+                "silent" => WhenBehind::Answers,
+                "reject" => WhenBehind::Refuses,
+                "hold" => WhenBehind::Waits(fam.catch_up_wait_us),
+                other => return bad(format!("when_behind is {other:?}")),
+            },
+            remember_commits: fam.write_marks == "router",
+            max_attempts: conf.limits.max_attempts,
+            retry_after: conf.limits.retry_after,
+            max_retry_after: conf.limits.max_retry_after_us,
+            probes: conf.limits.probes,
+            cancel: conf.limits.cancel,
+            only_draining_binds: conf.contract.only_draining_binds,
+            list_on_request: conf.discovery == "on_request",
+            cold_from: conf.contract.cold_from,
+            cold_time: conf.contract.cold_us,
+            fall_multiple: conf.contract.fall_multiple,
+            fall_time: conf.contract.fall_us,
+            crossing_price: conf.prices.cross_zone,
+            class_names: conf.request_classes.into_iter().map(|c| c.name).collect(),
+            report_fields: conf.stats.fields,
+            positions_from: fam.counted_from_us,
+            dial_timeout: conf.limits.dial_timeout_us,
+            conn_idle: conf.limits.conn_idle_us,
+            most_held: conf.limits.most_held,
+        })
+    }
+}
+
 fn settings(text: &[u8]) -> Result<(Settings, Dialect), WireError> {
-    let conf: Conf =
+    let settings: Settings =
         serde_json::from_slice(text).map_err(|e| WireError(format!("unusable settings: {e}")))?;
-    let fam = &conf.family_info;
-    let mut classes = Vec::new();
-    for (i, c) in conf.request_classes.iter().enumerate() {
-        let need = match fam.freshness.get(i).map(String::as_str) {
-            Some("update") => Need::Write,
-            Some("latest") => Need::Latest,
-            Some("own_writes") => Need::OwnWrites,
-            Some("recent") => Need::Recent(fam.class_bound_us.get(i).copied().unwrap_or(0)),
-            Some("loose") => Need::Any,
-            other => return bad(format!("unusable settings: freshness of class {i} is {other:?}")),
-        };
-        let effect = match c.effect.as_str() {
-            "safe" => Effect::Safe,
-            "keyed" => Effect::Keyed { anywhere: c.key_scope == "all", window: c.window_us },
-            "unsafe" => Effect::Unsafe,
-            other => return bad(format!("unusable settings: effect of class {i} is {other:?}")),
-        };
-        classes.push(Class {
-            need,
-            effect,
-            aim: c.aim_us,
-            deadline: c.deadline_us,
-            worth: c.credit,
-            late_share: c.late_share,
-        });
-    }
-    let settings = Settings {
-        instances: conf.instances,
-        zone: conf.zone,
-        resolution: conf.resolution_us,
-        classes,
-        quotas: conf.tenants.iter().map(|t| t.quota_per_s).collect(),
-        over_quota_share: conf.over_share_worth,
-        when_behind: match fam.when_behind.as_str() {
-            "silent" => WhenBehind::Answers,
-            "reject" => WhenBehind::Refuses,
-            "hold" => WhenBehind::Waits(fam.catch_up_wait_us),
-            other => return bad(format!("unusable settings: when_behind is {other:?}")),
-        },
-        remember_commits: fam.write_marks == "router",
-        max_attempts: conf.limits.max_attempts,
-        retry_after: conf.limits.retry_after,
-        max_retry_after: conf.limits.max_retry_after_us,
-        probes: conf.limits.probes,
-        cancel: conf.limits.cancel,
-        only_draining_binds: conf.contract.only_draining_binds,
-        list_on_request: conf.discovery == "on_request",
-        cold_from: conf.contract.cold_from,
-        cold_time: conf.contract.cold_us,
-        fall_multiple: conf.contract.fall_multiple,
-        fall_time: conf.contract.fall_us,
-        crossing_price: conf.prices.cross_zone,
-    };
-    Ok((settings, Dialect { zero: fam.counted_from_us, fields: conf.stats.fields }))
+    let dialect = Dialect { zero: settings.positions_from, fields: settings.report_fields.clone() };
+    Ok((settings, dialect))
 }
 
 impl Dialect {
