--- a/src/config.rs
+++ b/src/config.rs
@@ -68,3 +68,9 @@
         Ok(config)
     }
 }
+
+/// Reads a TOML file under `deploy/`.
+pub fn from_toml<T: serde::de::DeserializeOwned>(path: &std::path::Path) -> Result<T, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    toml::from_str(&text).map_err(|e| format!("{}: {}", path.display(), e.message()))
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,6 @@
-//! The reducer: `(state, now, input) -> effects`. It owns the [`Router`], the table of requests, the timers and
-//! deadlines, and the books of the pool of links. It speaks of requests, attempts and outcomes and knows no
-//! wire: what a request asks (`W`) and what an answer holds (`A`) pass through it unopened.
+//! The reducer: `(state, now, input) -> effects`. It owns the [`Router`], the table of requests, the
+//! timers and deadlines, and the books of the pool of links. It speaks of requests, attempts and outcomes
+//! and knows no wire: what a request asks (`W`) and what an answer holds (`A`) pass through it unopened.
 
 mod pool;
 mod timers;
@@ -105,6 +105,8 @@
         job: JobId,
         /// Its last byte may have been handed to the kernel.
         sent: bool,
+        /// The link goes on.
+        open: bool,
     },
     /// Time has passed.
     Due,
@@ -262,7 +264,7 @@
                     self.settle(now, job, Ending::plain(Outcome::Reset));
                 }
             }
-            Input::Abandoned { job, sent } => self.abandoned(now, job, sent),
+            Input::Abandoned { job, sent, open } => self.abandoned(now, job, sent, open),
             Input::Due => self.due_now(now),
         }
         std::mem::take(&mut self.effects)
@@ -417,14 +419,16 @@
         }
     }
 
-    fn abandoned(&mut self, now: Micros, job: JobId, sent: bool) {
+    fn abandoned(&mut self, now: Micros, job: JobId, sent: bool, open: bool) {
         let Some(running) = self.jobs.get(&job) else { return };
         let why = running.dropping.unwrap_or(Outcome::Cancelled);
-        if sent {
-            self.pool.free(running.link, false, now);
-        }
-        // What was not handed to the kernel in its time was never sent.
-        let outcome = if sent || why == Outcome::Cancelled { why } else { Outcome::Moot };
+        // What was not handed to the kernel in its time was never sent; a member that let a connection hang
+        // before that is one that could not be reached.
+        let outcome = match why {
+            Outcome::TimedOut if !sent && open => Outcome::Moot,
+            Outcome::TimedOut if !sent => Outcome::ConnectFailed,
+            _ => why,
+        };
         self.settle(now, job, Ending::plain(outcome));
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,9 +1,15 @@
-//! The fronts: each turns what clients say into requests for the core, and verdicts into answers.
+//! The fronts: each turns what clients say into requests for the core, and verdicts into answers. What they
+//! have in common is the [`Lobby`]: connections, their queues of commands, cancels and closing. A front's own
+//! way of talking is its [`Talk`].
 
 pub mod platform;
+pub mod postgres;
+pub mod unit;
 
 use crate::core::{Arrival, Verdict};
-use crate::{Micros, RequestId};
+use crate::pg::{self, Malformed, Opening};
+use crate::{Micros, Request, RequestId};
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
 
 /// The number of a client connection, never used twice.
@@ -16,12 +22,40 @@
         /// The bytes that came.
         text: Vec<u8>,
         /// What is to be rewritten.
-        wait: Range<usize>,
+        wait: Option<Range<usize>>,
     },
+    /// Extended-query messages up to a Sync.
+    Unit(unit::Unit),
 }
 
-/// What a member answered, as the bytes that came.
-pub type Answer = Vec<u8>;
+/// What a member answered, as the bytes that came, without ReadyForQuery.
+pub struct Answer {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// The commit of a write, where the member told it.
+    pub commit: Option<Micros>,
+}
+
+/// What a client's reader found on the wire.
+pub enum Said<C> {
+    /// A new connection, with the secret of its cancel key.
+    Connected {
+        /// The secret.
+        secret: u32,
+    },
+    /// An opening packet.
+    Opening(Opening),
+    /// A command, read whole.
+    Command(C),
+    /// A message that this front does not serve.
+    Unsupported,
+    /// The client says that it is done.
+    Terminate,
+    /// A message that breaks the protocol.
+    Malformed(Malformed),
+    /// The connection has ended.
+    Gone,
+}
 
 /// What a front wants done.
 pub enum Out {
@@ -37,16 +71,62 @@
     Left(RequestId),
 }
 
+/// What is asked of the core.
+pub struct Ask {
+    /// The class.
+    pub class: usize,
+    /// The group.
+    pub group: u32,
+    /// The session, 0 for none.
+    pub session: u64,
+    /// The position that a read must see, as time on the core's clock.
+    pub after: Option<Micros>,
+    /// A client's retry.
+    pub repeat: bool,
+    /// How long the client waits.
+    pub wait: Micros,
+    /// What a member is asked.
+    pub work: Work,
+}
+
+/// What a command comes to.
+pub enum Step<C> {
+    /// It waits for the proxy to be ready.
+    Wait(C),
+    /// It is answered with this at once.
+    Say(Vec<u8>),
+    /// It is a request.
+    Ask(Ask),
+}
+
+/// A front's own way of talking.
+pub trait Talk {
+    /// A command, as the reader hands it over.
+    type Command;
+    /// What a connection keeps from command to command.
+    type Session: Default;
+    /// When the command's last byte was read.
+    fn read_at(command: &Self::Command) -> Micros;
+    /// Takes a connection's next command.
+    fn start(
+        &mut self,
+        session: &mut Self::Session,
+        command: Self::Command,
+        ready: bool,
+    ) -> Step<Self::Command>;
+    /// The answer of the request that [`Talk::start`] asked for, up to ReadyForQuery.
+    fn finish(&mut self, session: &mut Self::Session, verdict: Verdict<Answer>) -> Vec<u8>;
+}
+
 /// Hands out request numbers to both fronts, and remembers whose they are.
 #[derive(Default)]
 pub struct Desk {
     last: RequestId,
-    owners: std::collections::BTreeMap<RequestId, ClientId>,
+    owners: BTreeMap<RequestId, ClientId>,
 }
 
 impl Desk {
-    /// A number for a request of this client.
-    pub fn open(&mut self, client: ClientId) -> RequestId {
+    fn open(&mut self, client: ClientId) -> RequestId {
         loop {
             self.last = self.last.wrapping_add(1);
             if !self.owners.contains_key(&self.last) {
@@ -62,11 +142,200 @@
     }
 }
 
-/// The error that a client gets for a verdict that is not served.
+struct Client<T: Talk> {
+    secret: u32,
+    greeted: bool,
+    queue: VecDeque<T::Command>,
+    busy: Option<RequestId>,
+    /// When its last answer was given: the time of a request that waited its turn counts from there.
+    free_at: Micros,
+    session: T::Session,
+}
+
+/// The connections of a front.
+pub struct Lobby<T: Talk> {
+    talk: T,
+    clients: BTreeMap<ClientId, Client<T>>,
+    /// Empty queries are answered: the front layer may send clients.
+    ready: bool,
+    /// Connections are closed between requests.
+    closing: bool,
+}
+
+impl<T: Talk> Lobby<T> {
+    /// A front without connections.
+    pub fn new(talk: T) -> Self {
+        Lobby { talk, clients: BTreeMap::new(), ready: false, closing: false }
+    }
+
+    /// The proxy is ready: commands that waited for that go on.
+    pub fn ready(&mut self, desk: &mut Desk, now: Micros) -> Vec<Out> {
+        self.ready = true;
+        let mut out = Vec::new();
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
+            self.next(desk, now, id, &mut out);
+        }
+        out
+    }
+
+    /// From now on connections are closed between requests.
+    pub fn close(&mut self) -> Vec<Out> {
+        self.closing = true;
+        let mut out = Vec::new();
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
+            self.close_if_idle(id, &mut out);
+        }
+        out
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// Closes a connection that is between requests, to make room.
+    pub fn evict(&mut self) -> Option<Out> {
+        let idle = |c: &Client<T>| c.greeted && c.busy.is_none() && c.queue.is_empty();
+        let (&id, _) = self.clients.iter().find(|(_, c)| idle(c))?;
+        self.clients.remove(&id);
+        Some(Out::Close(id))
+    }
+
+    /// Takes what a client said.
+    pub fn said(&mut self, desk: &mut Desk, now: Micros, id: ClientId, said: Said<T::Command>) -> Vec<Out> {
+        let mut out = Vec::new();
+        if let Said::Connected { secret } = said {
+            let (queue, session) = (VecDeque::new(), T::Session::default());
+            let client = Client { secret, greeted: false, queue, busy: None, free_at: 0, session };
+            self.clients.insert(id, client);
+            return out;
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return out };
+        match said {
+            Said::Connected { .. } => {}
+            Said::Opening(Opening::Encryption) => out.push(Out::Write(id, b"N".to_vec())),
+            Said::Opening(Opening::Startup) => {
+                client.greeted = true;
+                let mut bytes = Vec::new();
+                pg::put_greeting(&mut bytes, id as u32, client.secret);
+                out.push(Out::Write(id, bytes));
+            }
+            Said::Opening(Opening::Cancel { process, secret }) => {
+                self.gone(desk, id, &mut out);
+                self.cancel(desk, now, process, secret, &mut out);
+            }
+            Said::Command(command) => {
+                client.queue.push_back(command);
+                self.next(desk, now, id, &mut out);
+                self.close_if_idle(id, &mut out);
+            }
+            Said::Unsupported => {
+                self.fatal(desk, id, pg::NOT_SUPPORTED, "only simple queries are served here", &mut out)
+            }
+            Said::Malformed(why) => self.fatal(desk, id, pg::PROTOCOL_VIOLATION, why.0, &mut out),
+            Said::Terminate | Said::Gone => self.gone(desk, id, &mut out),
+        }
+        out
+    }
+
+    /// Gives a request its final answer.
+    pub fn answer(
+        &mut self,
+        desk: &mut Desk,
+        now: Micros,
+        id: ClientId,
+        request: RequestId,
+        verdict: Verdict<Answer>,
+    ) -> Vec<Out> {
+        let mut out = Vec::new();
+        let Some(client) = self.clients.get_mut(&id).filter(|c| c.busy == Some(request)) else { return out };
+        (client.busy, client.free_at) = (None, now);
+        out.push(Out::Write(id, self.talk.finish(&mut client.session, verdict)));
+        out.push(Out::Credit(id));
+        self.next(desk, now, id, &mut out);
+        self.close_if_idle(id, &mut out);
+        out
+    }
+
+    /// Starts the client's next command where none is under way. Those behind it wait their turn: on a
+    /// connection, answers arrive in the order of its commands.
+    fn next(&mut self, desk: &mut Desk, now: Micros, id: ClientId, out: &mut Vec<Out>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        while client.busy.is_none()
+            && let Some(command) = client.queue.pop_front()
+        {
+            let since = T::read_at(&command).max(client.free_at);
+            match self.talk.start(&mut client.session, command, self.ready) {
+                Step::Wait(command) => {
+                    client.queue.push_front(command);
+                    return;
+                }
+                Step::Say(bytes) => {
+                    out.push(Out::Write(id, bytes));
+                    out.push(Out::Credit(id));
+                }
+                Step::Ask(ask) => {
+                    let request = desk.open(id);
+                    client.busy = Some(request);
+                    let Ask { class, group, session, after, repeat, wait, work } = ask;
+                    let request = Request {
+                        id: request,
+                        class,
+                        group,
+                        session,
+                        tenant: 0,
+                        since_write: after.map(|after| now.saturating_sub(after)),
+                        remaining: wait.saturating_sub(now.saturating_sub(since)),
+                        repeat,
+                    };
+                    out.push(Out::Take(Arrival { request, work: work.into() }));
+                }
+            }
+        }
+    }
+
+    fn close_if_idle(&mut self, id: ClientId, out: &mut Vec<Out>) {
+        let idle = self.clients.get(&id).is_some_and(|c| c.busy.is_none() && c.queue.is_empty());
+        if self.closing && idle {
+            self.clients.remove(&id);
+            out.push(Out::Close(id));
+        }
+    }
+
+    fn gone(&mut self, desk: &mut Desk, id: ClientId, out: &mut Vec<Out>) {
+        if let Some(client) = self.clients.remove(&id) {
+            if let Some(request) = client.busy {
+                desk.close(request);
+                out.push(Out::Left(request));
+            }
+            out.push(Out::Close(id));
+        }
+    }
+
+    /// An error after which the connection cannot go on.
+    fn fatal(&mut self, desk: &mut Desk, id: ClientId, code: &str, text: &str, out: &mut Vec<Out>) {
+        let mut bytes = Vec::new();
+        pg::put_error(&mut bytes, "FATAL", code, text, None);
+        out.push(Out::Write(id, bytes));
+        self.gone(desk, id, out);
+    }
+
+    fn cancel(&mut self, desk: &mut Desk, now: Micros, process: u32, secret: u32, out: &mut Vec<Out>) {
+        let found = self.clients.iter().find(|(id, c)| **id as u32 == process && c.secret == secret);
+        if let Some((&id, client)) = found
+            && let Some(request) = client.busy
+        {
+            desk.close(request);
+            out.push(Out::Left(request));
+            out.extend(self.answer(desk, now, id, request, Verdict::Failed { ran: true }));
+        }
+    }
+}
+
+/// Appends the error for a verdict that is not served, or the answer of one that is.
 pub fn put_verdict(out: &mut Vec<u8>, verdict: &Verdict<Answer>) {
-    use crate::pg;
     match verdict {
-        Verdict::Served(answer) => out.extend_from_slice(answer),
+        Verdict::Served(answer) => out.extend_from_slice(&answer.bytes),
         Verdict::Refused { retry_after } => {
             let wait = (*retry_after > 0).then(|| millis(*retry_after));
             pg::put_error(out, "ERROR", pg::TOO_MANY, "refused, nothing has run: try again", wait);
--- /dev/null
+++ b/src/front/postgres.rs
@@ -0,0 +1,471 @@
+//! The extended front: prepared statements, portals and pipelines. Messages up to a Sync are one request,
+//! with the effect of its strictest class and one final answer.
+//!
+//! A Flush before the Sync makes a request of what came so far. Portals bound there are bound again,
+//! unseen by the client, where the rest of the unit uses them; after an Execute, such a unit takes no
+//! further one, as the implicit transaction has ended at the member.
+
+use super::unit::{Part, Prepared, Unit};
+use super::{Answer, Ask, Step, Talk, Work, put_verdict};
+use crate::core::Verdict;
+use crate::net::clock::from_unix_ms;
+use crate::pg::{self, statement};
+use crate::{Effect, Micros, Need, Settings};
+use serde::Deserialize;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// SQLSTATE: no statement of that name.
+const NO_STATEMENT: &str = "26000";
+/// SQLSTATE: no portal of that name.
+const NO_PORTAL: &str = "34000";
+/// SQLSTATE: more than the listener allows.
+const LIMIT: &str = "54000";
+/// Sessions whose last commit is remembered, over all clients.
+const COMMITS: usize = 16 * 1024;
+
+/// The file under `deploy/` that says where this front listens, and its defaults.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The class of reads whose statement names none.
+    pub read_class: String,
+    /// The class of writes whose statement names none.
+    pub write_class: String,
+    /// The group of statements that name none.
+    pub group: u32,
+    /// How long a client waits whose statement does not say, in milliseconds.
+    pub wait_ms: u64,
+    /// The parameter that names the session, counted from 1; 0 for none.
+    pub session_parameter: usize,
+    /// Statements that one client may have prepared.
+    pub statements: usize,
+}
+
+/// Messages up to a Sync, a Flush, or a simple query by itself.
+pub struct Batch {
+    /// When the last byte was read.
+    pub at: Micros,
+    /// The messages.
+    pub messages: Vec<Vec<u8>>,
+    /// What ended it: `S`, `H` or `Q`.
+    pub end: u8,
+}
+
+/// What is known of a statement.
+#[derive(Clone)]
+struct Known {
+    prepared: Arc<Prepared>,
+    class: usize,
+    group: u32,
+    wait: Micros,
+    after: Option<Micros>,
+    repeat: bool,
+    key: u64,
+}
+
+#[derive(Clone)]
+struct Portal {
+    known: Known,
+    key: u64,
+    tail: Vec<u8>,
+    /// It was bound before the last Flush: the member does not have it any more.
+    flushed: bool,
+}
+
+/// What is kept of a request until its answer.
+struct Open {
+    /// Names prepared, with what stood there before.
+    parsed: Vec<(Vec<u8>, Option<Known>)>,
+    key: u64,
+    end: u8,
+}
+
+/// What a connection keeps.
+#[derive(Default)]
+pub struct Session {
+    statements: BTreeMap<Vec<u8>, Known>,
+    portals: BTreeMap<Vec<u8>, Portal>,
+    /// After an error before a Flush: all is skipped up to the Sync.
+    skipping: bool,
+    /// The unit has executed something before a Flush.
+    executed: bool,
+    open: Option<Open>,
+}
+
+type Refusal = (&'static str, String);
+
+fn no<T>(code: &'static str, why: impl Into<String>) -> Result<T, Refusal> {
+    Err((code, why.into()))
+}
+
+fn malformed<T>() -> Result<T, Refusal> {
+    no(pg::PROTOCOL_VIOLATION, "malformed message")
+}
+
+/// The extended front's way of talking.
+pub struct Postgres {
+    listen: Listen,
+    settings: Arc<Settings>,
+    commits: BTreeMap<u64, Micros>,
+    order: VecDeque<u64>,
+}
+
+impl Postgres {
+    /// A front with these defaults, whose classes must exist.
+    pub fn new(listen: Listen, settings: Arc<Settings>) -> Result<Self, String> {
+        for name in [&listen.read_class, &listen.write_class] {
+            if settings.class(name.as_bytes()).is_none() {
+                return Err(format!("class {name} does not exist"));
+            }
+        }
+        Ok(Postgres { listen, settings, commits: BTreeMap::new(), order: VecDeque::new() })
+    }
+
+    /// Reads a statement. Anything that lives longer than a unit, or is more than one statement, is refused:
+    /// the next request may go to another member.
+    fn know(&self, sql: &[u8], types: &[u8]) -> Result<Known, Refusal> {
+        let word = statement::first_word(sql);
+        let writes = match word.as_str() {
+            "select" | "values" | "show" => false,
+            "insert" | "update" | "delete" | "merge" | "with" => true,
+            _ => return no(pg::NOT_SUPPORTED, format!("{word} is not supported on this listener")),
+        };
+        if statement::several(sql) {
+            return no(pg::NOT_SUPPORTED, "one statement a query, please");
+        }
+        let fields = statement::fields(sql);
+        let class = match fields.class {
+            Some(name) => self.settings.class(name),
+            None if writes => self.settings.class(self.listen.write_class.as_bytes()),
+            None => self.settings.class(self.listen.read_class.as_bytes()),
+        };
+        let Some(class) = class else { return no(pg::PROTOCOL_VIOLATION, "unknown class") };
+        // Guards against a change that is declared as a read, and would then be repeated.
+        if writes && word != "with" && self.settings.classes[class].need != Need::Write {
+            return no(pg::NOT_SUPPORTED, format!("{word} in a class that is not for writes"));
+        }
+        Ok(Known {
+            prepared: Arc::new(Prepared { sql: sql.to_vec(), types: types.to_vec() }),
+            class,
+            group: fields.group.unwrap_or(self.listen.group),
+            wait: from_unix_ms(fields.wait.map_or(self.listen.wait_ms, |w| w.0)).min(1 << 40),
+            after: fields.after.map(from_unix_ms),
+            repeat: fields.repeat,
+            key: fields.key.map_or(0, statement::session),
+        })
+    }
+
+    fn strictness(&self, class: usize) -> (u8, u8) {
+        let class = &self.settings.classes[class];
+        let effect = match class.effect {
+            Effect::Safe => 0,
+            Effect::Keyed { .. } => 1,
+            Effect::Unsafe => 2,
+        };
+        let need = match class.need {
+            Need::Any => 0,
+            Need::Recent(_) => 1,
+            Need::OwnWrites => 2,
+            Need::Latest => 3,
+            Need::Write => 4,
+        };
+        (effect, need)
+    }
+
+    fn ask(&self, used: &[Known], key: u64, work: Work) -> Result<Ask, Refusal> {
+        let Some(first) = used.first() else { return malformed() };
+        if used.iter().any(|k| k.group != first.group) {
+            return no(pg::NOT_SUPPORTED, "statements of more than one group before a Sync");
+        }
+        let strictest = used.iter().max_by_key(|k| self.strictness(k.class)).unwrap_or(first);
+        let after = used.iter().filter_map(|k| k.after).max();
+        Ok(Ask {
+            class: strictest.class,
+            group: first.group,
+            session: key,
+            after: after.max(self.commits.get(&key).copied()),
+            repeat: used.iter().any(|k| k.repeat),
+            wait: used.iter().map(|k| k.wait).min().unwrap_or(first.wait),
+            work,
+        })
+    }
+
+    fn simple(&self, session: &mut Session, message: &[u8]) -> Result<Step<Batch>, Refusal> {
+        let Some((text, [])) = pg::cstr(pg::body(message)) else { return malformed() };
+        if text.trim_ascii().is_empty() {
+            let mut bytes = Vec::new();
+            pg::put(&mut bytes, b'I', &[]);
+            pg::put_ready(&mut bytes);
+            return Ok(Step::Say(bytes));
+        }
+        let known = self.know(text, &[])?;
+        let key = known.key;
+        let wait = statement::fields(text).wait.map(|w| w.1);
+        let ask = self.ask(&[known], key, Work::Simple { text: text.to_vec(), wait })?;
+        session.open = Some(Open { parsed: Vec::new(), key, end: b'Q' });
+        Ok(Step::Ask(ask))
+    }
+
+    fn unit(&mut self, session: &mut Session, batch: &Batch) -> Result<Step<Batch>, Refusal> {
+        let (mut parts, mut used, mut key) = (Vec::new(), Vec::new(), 0);
+        let mut open = Open { parsed: Vec::new(), key: 0, end: batch.end };
+        let result = batch.messages.iter().try_for_each(|message| {
+            self.message(session, message, &mut open, &mut parts, &mut used, &mut key)
+        });
+        if let Err(refusal) = result {
+            undo(session, open.parsed, 0);
+            return Err(refusal);
+        }
+        if used.is_empty() {
+            // Nothing here concerns a member.
+            let mut bytes = Vec::new();
+            parts.iter().for_each(|_| pg::put(&mut bytes, b'3', &[]));
+            return Ok(Step::Say(self.end(session, batch.end, bytes)));
+        }
+        let executes = parts.iter().any(|p| matches!(p, Part::Execute { .. }));
+        if executes && session.executed {
+            undo(session, open.parsed, 0);
+            return no(pg::NOT_SUPPORTED, "a further execute in a unit that was flushed after one");
+        }
+        session.executed |= executes;
+        let mut ask = self.ask(&used, key, Work::Simple { text: Vec::new(), wait: None })?;
+        let careful = self.settings.classes[ask.class].effect != Effect::Safe;
+        ask.work = Work::Unit(Unit { parts, careful });
+        open.key = key;
+        session.open = Some(open);
+        Ok(Step::Ask(ask))
+    }
+
+    fn message(
+        &mut self,
+        session: &mut Session,
+        message: &[u8],
+        open: &mut Open,
+        parts: &mut Vec<Part>,
+        used: &mut Vec<Known>,
+        key: &mut u64,
+    ) -> Result<(), Refusal> {
+        let (tag, body) = (message.first().copied().unwrap_or(0), pg::body(message));
+        match tag {
+            b'P' => {
+                let Some((name, rest)) = pg::cstr(body) else { return malformed() };
+                let Some((sql, types)) = pg::cstr(rest) else { return malformed() };
+                let count = types.get(..2).map(|c| usize::from(u16::from_be_bytes([c[0], c[1]])));
+                if count.is_none_or(|c| types.len() != 2 + 4 * c) {
+                    return malformed();
+                }
+                if !name.is_empty() && session.statements.contains_key(name) {
+                    return no("42P05", "a statement of that name exists");
+                }
+                if session.statements.len() >= self.listen.statements {
+                    return no(LIMIT, "too many prepared statements");
+                }
+                let known = self.know(sql, types)?;
+                parts.push(Part::Parse(known.prepared.clone()));
+                used.push(known.clone());
+                let before = session.statements.insert(name.to_vec(), known);
+                open.parsed.push((name.to_vec(), before));
+            }
+            b'B' => {
+                let Some((portal, rest)) = pg::cstr(body) else { return malformed() };
+                let Some((name, tail)) = pg::cstr(rest) else { return malformed() };
+                let Some(parameters) = parameters(tail) else { return malformed() };
+                let known = self.statement(session, name)?;
+                let named = self.listen.session_parameter.checked_sub(1);
+                let named = named.and_then(|n| parameters.get(n).copied().flatten());
+                let own = named.map_or(known.key, statement::session);
+                *key = if *key == 0 { own } else { *key };
+                let bound = Portal { known: known.clone(), key: own, tail: tail.to_vec(), flushed: false };
+                session.portals.insert(portal.to_vec(), bound);
+                parts.push(Part::Bind {
+                    portal: portal.to_vec(),
+                    statement: known.prepared.clone(),
+                    tail: tail.to_vec(),
+                    visible: true,
+                });
+                used.push(known);
+            }
+            b'E' => {
+                let Some((portal, rows)) = pg::cstr(body).filter(|(_, rows)| rows.len() == 4) else {
+                    return malformed();
+                };
+                self.portal(session, portal, parts, used, key)?;
+                parts.push(Part::Execute { portal: portal.to_vec(), rows: rows.to_vec() });
+            }
+            b'D' | b'C' => {
+                let Some((&kind, rest)) = body.split_first() else { return malformed() };
+                let Some((name, [])) = pg::cstr(rest) else { return malformed() };
+                match (tag, kind) {
+                    (b'D', b'S') => {
+                        let known = self.statement(session, name)?;
+                        parts.push(Part::DescribeStatement(known.prepared.clone()));
+                        used.push(known);
+                    }
+                    (b'D', b'P') => {
+                        self.portal(session, name, parts, used, key)?;
+                        parts.push(Part::DescribePortal(name.to_vec()));
+                    }
+                    (b'C', b'S') => {
+                        session.statements.remove(name);
+                        parts.push(Part::CloseStatement);
+                    }
+                    (b'C', b'P') => match session.portals.remove(name) {
+                        Some(portal) if !portal.flushed => parts.push(Part::ClosePortal(name.to_vec())),
+                        _ => parts.push(Part::CloseStatement),
+                    },
+                    _ => return malformed(),
+                }
+            }
+            _ => return malformed(),
+        }
+        Ok(())
+    }
+
+    fn statement(&self, session: &Session, name: &[u8]) -> Result<Known, Refusal> {
+        let known = session.statements.get(name).cloned();
+        known.ok_or_else(|| {
+            (NO_STATEMENT, format!("no prepared statement \"{}\"", String::from_utf8_lossy(name)))
+        })
+    }
+
+    /// Makes sure that the member will have a portal.
+    fn portal(
+        &self,
+        session: &mut Session,
+        name: &[u8],
+        parts: &mut Vec<Part>,
+        used: &mut Vec<Known>,
+        key: &mut u64,
+    ) -> Result<(), Refusal> {
+        let Some(portal) = session.portals.get_mut(name) else {
+            return no(NO_PORTAL, format!("no portal \"{}\"", String::from_utf8_lossy(name)));
+        };
+        if portal.flushed {
+            portal.flushed = false;
+            *key = if *key == 0 { portal.key } else { *key };
+            parts.push(Part::Bind {
+                portal: name.to_vec(),
+                statement: portal.known.prepared.clone(),
+                tail: portal.tail.clone(),
+                visible: false,
+            });
+            used.push(portal.known.clone());
+        }
+        Ok(())
+    }
+
+    /// Ends a batch: with ReadyForQuery after a Sync or a query, without after a Flush.
+    fn end(&self, session: &mut Session, end: u8, mut bytes: Vec<u8>) -> Vec<u8> {
+        if end == b'H' {
+            session.portals.values_mut().for_each(|p| p.flushed = true);
+        } else {
+            session.portals.clear();
+            (session.skipping, session.executed) = (false, false);
+            pg::put_ready(&mut bytes);
+        }
+        bytes
+    }
+}
+
+/// Takes back what a unit prepared beyond its first `kept` statements.
+fn undo(session: &mut Session, parsed: Vec<(Vec<u8>, Option<Known>)>, kept: usize) {
+    for (name, before) in parsed.into_iter().skip(kept).rev() {
+        match before {
+            Some(known) => drop(session.statements.insert(name, known)),
+            None => drop(session.statements.remove(&name)),
+        }
+    }
+}
+
+/// The parameters in what follows a Bind's names, if all of it is well formed.
+fn parameters(tail: &[u8]) -> Option<Vec<Option<&[u8]>>> {
+    fn count(at: &mut &[u8]) -> Option<usize> {
+        let (head, rest) = at.split_at_checked(2)?;
+        *at = rest;
+        Some(usize::from(u16::from_be_bytes([head[0], head[1]])))
+    }
+    let mut at = tail;
+    let formats = count(&mut at)?;
+    at = at.get(2 * formats..)?;
+    let mut values = Vec::new();
+    for _ in 0..count(&mut at)? {
+        let (head, rest) = at.split_at_checked(4)?;
+        at = rest;
+        let length = i32::from_be_bytes([head[0], head[1], head[2], head[3]]);
+        values.push(match usize::try_from(length) {
+            Err(_) if length == -1 => None,
+            Err(_) => return None,
+            Ok(length) => {
+                let (value, rest) = at.split_at_checked(length)?;
+                at = rest;
+                Some(value)
+            }
+        });
+    }
+    let results = count(&mut at)?;
+    (at.len() == 2 * results).then_some(values)
+}
+
+impl Talk for Postgres {
+    type Command = Batch;
+    type Session = Session;
+
+    fn read_at(batch: &Batch) -> Micros {
+        batch.at
+    }
+
+    fn start(&mut self, session: &mut Session, batch: Batch, _ready: bool) -> Step<Batch> {
+        if session.skipping && batch.end != b'Q' {
+            return Step::Say(self.end(session, batch.end, Vec::new()));
+        }
+        let step = match batch.messages.first() {
+            Some(message) if batch.end == b'Q' => self.simple(session, message),
+            _ => self.unit(session, &batch),
+        };
+        step.unwrap_or_else(|(code, why)| {
+            let mut bytes = Vec::new();
+            pg::put_error(&mut bytes, "ERROR", code, &why, None);
+            session.skipping = true;
+            Step::Say(self.end(session, batch.end, bytes))
+        })
+    }
+
+    fn finish(&mut self, session: &mut Session, verdict: Verdict<Answer>) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        put_verdict(&mut bytes, &verdict);
+        let Some(open) = session.open.take() else { return bytes };
+        let (parses, error) = tally(&bytes);
+        undo(session, open.parsed, if error { parses } else { usize::MAX });
+        session.skipping |= error;
+        if let Verdict::Served(Answer { commit: Some(commit), .. }) = verdict
+            && !error
+            && open.key != 0
+        {
+            if self.commits.insert(open.key, commit).is_none() {
+                self.order.push_back(open.key);
+            }
+            if self.order.len() > COMMITS
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.commits.remove(&oldest);
+            }
+        }
+        self.end(session, open.end, bytes)
+    }
+}
+
+/// How many statements an answer says are prepared, and whether it holds an error.
+fn tally(mut bytes: &[u8]) -> (usize, bool) {
+    let (mut parses, mut error) = (0, false);
+    while let Some((head, _)) = bytes.split_at_checked(5) {
+        parses += usize::from(head[0] == b'1');
+        error |= head[0] == b'E';
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        bytes = bytes.get(length + 1..).unwrap_or_default();
+    }
+    (parses, error)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -359,3 +359,10 @@
         }
     }
 }
+
+impl Settings {
+    /// The number of the class with this name.
+    pub fn class(&self, name: &[u8]) -> Option<usize> {
+        self.class_names.iter().position(|n| n.as_bytes() == name)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod wire;
 
 pub use balance::Router;
-pub use config::Config;
+pub use config::{Config, from_toml};
+pub use front::postgres::Listen;
 pub use interface::*;
 pub use net::serve;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! liftrelay's command line.
 
 use argh::FromArgs;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Routes reads and writes to replicated database groups.
@@ -21,7 +22,11 @@
 /// Serve clients until SIGTERM, as GW_CONFIG and the other GW_ variables say.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// also serve extended queries, where this file says
+    #[argh(option)]
+    postgres: Option<PathBuf>,
+}
 
 /// Read the configuration as serve would, and say whether it can be used.
 #[derive(FromArgs)]
@@ -42,9 +47,15 @@
         println!("liftrelay {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let config = match liftrelay::Config::from_env() {
-        Ok(config) => config,
+    let serve = match &command {
+        Command::Serve(serve) => serve.postgres.as_deref(),
+        _ => None,
+    };
+    let read = || Ok((liftrelay::Config::from_env()?, serve.map(liftrelay::from_toml).transpose()?));
+    let (config, postgres) = match read() {
+        Ok(read) => read,
         Err(e) => {
+            let e: String = e;
             eprintln!("liftrelay: {}", e.replace('\n', " "));
             return ExitCode::from(BAD_CONFIG);
         }
@@ -54,7 +65,7 @@
         return ExitCode::SUCCESS;
     }
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
-    match liftrelay::serve(&config) {
+    match liftrelay::serve(&config, postgres) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("liftrelay: {e}");
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -3,7 +3,9 @@
 use super::clock::Clock;
 use super::{Message, Messages, spawn};
 use crate::front::ClientId;
-use crate::front::platform::{Asked, Query, Said};
+use crate::front::Said;
+use crate::front::platform::{Asked, Query};
+use crate::front::postgres::Batch;
 use crate::pg::{self, Frames, Malformed};
 use crate::{Micros, Settings};
 use crossbeam_channel::{Receiver, Sender, bounded};
@@ -19,11 +21,26 @@
 /// A client that takes nothing for this long is cut off.
 const STUCK: Duration = Duration::from_secs(10);
 
+/// Messages and bytes that may come before a Sync.
+const UNIT_MESSAGES: usize = 1024;
+const UNIT_BYTES: usize = 1 << 20;
+
+/// How a listener's clients talk.
+#[derive(Clone)]
+pub enum Dialect {
+    /// Simple queries, as the platform words them.
+    Platform(Arc<Settings>),
+    /// Extended queries.
+    Postgres,
+}
+
 /// The reducer's end of a client's connection.
 pub struct Handle {
     answers: Sender<Vec<u8>>,
     credits: Receiver<()>,
     stream: Arc<TcpStream>,
+    /// It came in on the extended listener.
+    pub extended: bool,
 }
 
 impl Handle {
@@ -31,10 +48,11 @@
     pub fn open(
         id: ClientId,
         stream: TcpStream,
-        settings: Arc<Settings>,
+        dialect: Dialect,
         clock: Clock,
         messages: Messages,
     ) -> Option<Handle> {
+        let extended = matches!(dialect, Dialect::Postgres);
         let _ = stream.set_nodelay(true);
         let _ = stream.set_write_timeout(Some(STUCK));
         let stream = Arc::new(stream);
@@ -53,15 +71,24 @@
         .ok()?;
         let reads = stream.clone();
         spawn("client-read", move || {
-            let mut reader = Reader { id, settings, clock, messages, spend, frames: Frames::default() };
-            let said = match reader.run(&reads) {
-                Ok(said) => said,
-                Err(e) => Said::Malformed(e),
-            };
-            reader.say(said);
+            let mut reader = Reader { id, clock, messages, spend, frames: Frames::default() };
+            match dialect {
+                Dialect::Platform(settings) => {
+                    let end = reader
+                        .opened(&reads, Message::Client)
+                        .unwrap_or_else(|| reader.queries(&reads, &settings).unwrap_or_else(Said::Malformed));
+                    reader.say(Message::Client, end);
+                }
+                Dialect::Postgres => {
+                    let end = reader
+                        .opened(&reads, Message::Extended)
+                        .unwrap_or_else(|| reader.batches(&reads).unwrap_or_else(Said::Malformed));
+                    reader.say(Message::Extended, end);
+                }
+            }
         })
         .ok()?;
-        Some(Handle { answers, credits, stream })
+        Some(Handle { answers, credits, stream, extended })
     }
 
     /// Hands bytes to the writer; `false` if the client does not read.
@@ -82,35 +109,49 @@
 
 struct Reader {
     id: ClientId,
-    settings: Arc<Settings>,
     clock: Clock,
     messages: Messages,
     spend: Sender<()>,
     frames: Frames,
 }
 
+/// How what a client said is wrapped for the loop.
+type Wrap<C> = fn(ClientId, Said<C>) -> Message;
+
 impl Reader {
-    fn say(&self, said: Said) -> bool {
-        self.messages.send(Message::Client(self.id, said)).is_ok()
+    fn say<C>(&self, wrap: Wrap<C>, said: Said<C>) -> bool {
+        self.messages.send(wrap(self.id, said)).is_ok()
+    }
+
+    /// Says a command once the client may have another one unanswered.
+    fn command<C>(&self, wrap: Wrap<C>, command: C) -> bool {
+        self.spend.send(()).is_ok() && self.say(wrap, Said::Command(command))
     }
 
-    fn run(&mut self, stream: &TcpStream) -> Result<Said, Malformed> {
+    /// Reads up to the startup message; returns how the connection ended if it did.
+    fn opened<C>(&mut self, stream: &TcpStream, wrap: Wrap<C>) -> Option<Said<C>> {
         loop {
-            match self.frames.opening()? {
-                Some(pg::Opening::Startup) => break,
-                Some(opening) => {
+            match self.frames.opening() {
+                Err(e) => return Some(Said::Malformed(e)),
+                Ok(Some(opening)) => {
+                    let started = opening == pg::Opening::Startup;
                     let last = matches!(opening, pg::Opening::Cancel { .. });
-                    if !self.say(Said::Opening(opening)) || last {
-                        return Ok(Said::Gone);
+                    if !self.say(wrap, Said::Opening(opening)) || last {
+                        return Some(Said::Gone);
+                    }
+                    if started {
+                        return None;
                     }
                 }
-                None => match self.frames.fill(stream) {
+                Ok(None) => match self.frames.fill(stream) {
                     Ok(true) => {}
-                    _ => return Ok(Said::Gone),
+                    _ => return Some(Said::Gone),
                 },
             }
         }
-        self.say(Said::Opening(pg::Opening::Startup));
+    }
+
+    fn queries(&mut self, stream: &TcpStream, settings: &Settings) -> Result<Said<Query>, Malformed> {
         let mut at: Micros = self.clock.now();
         loop {
             match self.frames.message()? {
@@ -119,9 +160,8 @@
                     if text.len() + 6 != message.len() {
                         return Err(Malformed("bytes behind the query's end"));
                     }
-                    let fields = Asked::read(text, &self.settings);
-                    let said = Said::Query(Query { at, text: text.to_vec(), fields });
-                    if self.spend.send(()).is_err() || !self.say(said) {
+                    let query = Query { at, text: text.to_vec(), fields: Asked::read(text, settings) };
+                    if !self.command(Message::Client, query) {
                         return Ok(Said::Gone);
                     }
                 }
@@ -137,4 +177,41 @@
             }
         }
     }
+
+    fn batches(&mut self, stream: &TcpStream) -> Result<Said<Batch>, Malformed> {
+        let mut at: Micros = self.clock.now();
+        let (mut messages, mut size) = (Vec::new(), 0);
+        loop {
+            match self.frames.message()? {
+                Some((end @ (b'S' | b'H' | b'Q'), message)) => {
+                    if end == b'Q' {
+                        if !messages.is_empty() {
+                            return Err(Malformed("a query amid extended messages"));
+                        }
+                        messages.push(message.to_vec());
+                    } else if message.len() != 5 {
+                        return Err(Malformed("bytes where none belong"));
+                    }
+                    let batch = Batch { at, messages: std::mem::take(&mut messages), end };
+                    size = 0;
+                    if !self.command(Message::Extended, batch) {
+                        return Ok(Said::Gone);
+                    }
+                }
+                Some((b'P' | b'B' | b'E' | b'D' | b'C', message)) => {
+                    size += message.len();
+                    if size > UNIT_BYTES || messages.len() >= UNIT_MESSAGES {
+                        return Err(Malformed("too much before a Sync"));
+                    }
+                    messages.push(message.to_vec());
+                }
+                Some((b'X', _)) => return Ok(Said::Terminate),
+                Some(_) => return Err(Malformed("unknown message type")),
+                None => match self.frames.fill(stream) {
+                    Ok(true) => at = self.clock.now(),
+                    _ => return Ok(Said::Gone),
+                },
+            }
+        }
+    }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -2,6 +2,7 @@
 
 use super::{Message, Messages, clock::from_unix_ms, spawn};
 use crate::core::{Ending, Input, Job, JobId, LinkId};
+use crate::front::unit::{Catalogue, Progress, Script, Unit};
 use crate::front::{Answer, Work, millis};
 use crate::pg::{self, Frames};
 use crate::{Micros, Note, Outcome, Report, Role};
@@ -16,6 +17,11 @@
 const WAITING: u8 = 0;
 const WITHDRAWN: u8 = 1;
 const SENDING: u8 = 2;
+/// What comes ahead of a unit's first Execute is on its way: nothing has run, but the connection is in use.
+const PREFACE: u8 = 3;
+
+/// A member that has not taken a Parse or a Bind by then is not waited for: nothing has run.
+const PREFACE_WAIT: Duration = Duration::from_millis(1000);
 
 /// The user and database that members are greeted with.
 const USER: &str = "web";
@@ -52,16 +58,14 @@
         self.orders.try_send(Order { job, what, state: self.state.clone() }).is_ok()
     }
 
-    /// Withdraws a job: `true` if it may have been sent. Then the connection is cut.
-    pub fn abandon(&self, job: JobId) -> bool {
-        if self.job != job {
-            return true;
-        }
-        let step = self.state.compare_exchange(WAITING, WITHDRAWN, Ordering::SeqCst, Ordering::SeqCst);
-        if step.is_err() {
-            self.cut();
+    /// Withdraws a job: whether it may have been sent, and whether the link goes on. If not, it is cut.
+    pub fn abandon(&self, job: JobId) -> (bool, bool) {
+        if self.job == job && step(&self.state, WAITING, WITHDRAWN) {
+            return (false, true);
         }
-        step.is_err()
+        let sent = self.job != job || !step(&self.state, PREFACE, WITHDRAWN);
+        self.cut();
+        (sent, false)
     }
 
     /// Ends the connection, whatever it is doing.
@@ -73,6 +77,11 @@
     }
 }
 
+/// Takes a step that only one side can take.
+fn step(state: &AtomicU8, from: u8, to: u8) -> bool {
+    state.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst).is_ok()
+}
+
 struct Lane {
     link: LinkId,
     address: SocketAddr,
@@ -96,6 +105,7 @@
 impl Lane {
     fn run(self, inbox: &Receiver<Order>) {
         let mut connection = self.connect();
+        let mut catalogue = Catalogue::default();
         let mut used = false;
         while let Ok(order) = inbox.recv() {
             if order.state.load(Ordering::SeqCst) == WITHDRAWN {
@@ -109,18 +119,20 @@
             // count as sent. It is opened anew, and the job has not run.
             if used && connection.as_ref().is_ok_and(|(stream, _)| gone(stream)) {
                 connection = self.connect();
+                catalogue.clear();
             }
             used = true;
             let reply = match &mut connection {
                 Err(outcome) => Reply::plain(*outcome),
                 Ok((stream, frames)) => {
-                    let step =
-                        order.state.compare_exchange(WAITING, SENDING, Ordering::SeqCst, Ordering::SeqCst);
-                    if step.is_err() {
-                        self.tell(Input::Idle(self.link));
-                        continue;
+                    let mut talk = Exchange { stream, frames, state: &order.state };
+                    match talk.run(&order.what, &mut catalogue) {
+                        Some(reply) => reply,
+                        None => {
+                            self.tell(Input::Idle(self.link));
+                            continue;
+                        }
                     }
-                    exchange(stream, frames, &order.what)
                 }
             };
             let Reply { ending, open } = reply;
@@ -184,70 +196,192 @@
     stream.set_nonblocking(false).is_err() || !quiet
 }
 
-/// One query and its answer, classified exactly as the protocol's table has it.
-fn exchange(stream: &TcpStream, frames: &mut Frames, what: &Job<Work>) -> Reply {
-    let message = match what {
-        Job::Probe => pg::query(&[b"SHOW health"]),
-        Job::Attempt { work, allowed } => match work.as_ref() {
-            Work::Simple { text, wait } => {
-                let digits = millis(*allowed).to_string();
-                pg::query(&[&text[..wait.start], digits.as_bytes(), &text[wait.end..]])
-            }
-        },
-    };
-    let mut sent = 0;
-    while sent < message.len() {
-        match (&*stream).write(&message[sent..]) {
-            Ok(n) if n > 0 => sent += n,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            // It broke before the last byte was handed over: it never ran.
-            _ => return Reply::plain(Outcome::ConnectFailed),
-        }
+/// One job on a connection, classified exactly as the protocol's table has it.
+struct Exchange<'a> {
+    stream: &'a TcpStream,
+    frames: &'a mut Frames,
+    state: &'a AtomicU8,
+}
+
+/// What a job's replies told of the member.
+#[derive(Default)]
+struct Heard {
+    note: Note,
+    report: Report,
+}
+
+impl Heard {
+    fn ending(self, outcome: Outcome, bytes: Vec<u8>) -> Ending<Answer> {
+        let answer = Some(Answer { bytes, commit: self.note.position });
+        Ending { outcome, note: self.note, report: self.report, answer }
     }
-    read_reply(stream, frames, matches!(what, Job::Probe))
 }
 
-fn read_reply(stream: &TcpStream, frames: &mut Frames, probe: bool) -> Reply {
-    let mut answer = Vec::new();
-    let (mut row, mut done, mut error) = (None, false, None);
-    let mut note = Note::default();
-    let mut report = Report::default();
-    loop {
-        match frames.message() {
-            Err(_) => break,
-            // Guards against a member that talks without end.
-            Ok(None) if answer.len() > 2 * pg::MAX_MESSAGE => break,
-            Ok(None) => match frames.fill(stream) {
-                Ok(true) => {}
-                _ => break,
+impl Exchange<'_> {
+    /// `None` if the job was withdrawn before anything was written.
+    fn run(&mut self, what: &Job<Work>, catalogue: &mut Catalogue) -> Option<Reply> {
+        let message = match what {
+            Job::Probe => pg::query(&[b"SHOW health"]),
+            Job::Attempt { work, allowed } => match work.as_ref() {
+                Work::Unit(unit) => return self.unit(unit, catalogue),
+                Work::Simple { text, wait: None } => pg::query(&[text]),
+                Work::Simple { text, wait: Some(wait) } => {
+                    let digits = millis(*allowed).to_string();
+                    pg::query(&[&text[..wait.start], digits.as_bytes(), &text[wait.end..]])
+                }
             },
-            Ok(Some((tag, message))) => match tag {
-                b'T' | b'C' | b'D' => {
-                    answer.extend_from_slice(message);
-                    done |= tag == b'C';
-                    if tag == b'D' {
-                        row = pg::only_column(pg::body(message)).map(<[u8]>::to_vec);
+        };
+        if !step(self.state, WAITING, SENDING) {
+            return None;
+        }
+        // It broke before the last byte was handed over: it never ran.
+        Some(match self.write(&message) {
+            Ok(()) => self.simple(matches!(what, Job::Probe)),
+            Err(_) => Reply::plain(Outcome::ConnectFailed),
+        })
+    }
+
+    /// Writes all of it, or says how much was handed over.
+    fn write(&mut self, bytes: &[u8]) -> Result<(), usize> {
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match (&*self.stream).write(&bytes[sent..]) {
+                Ok(n) if n > 0 => sent += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => return Err(sent),
+            }
+        }
+        Ok(())
+    }
+
+    fn simple(&mut self, probe: bool) -> Reply {
+        let mut answer = Vec::new();
+        let (mut row, mut done, mut error) = (None, false, None);
+        let mut heard = Heard::default();
+        loop {
+            match self.frames.message() {
+                Err(_) => break,
+                // Guards against a member that talks without end.
+                Ok(None) if answer.len() > 2 * pg::MAX_MESSAGE => break,
+                Ok(None) => match self.frames.fill(self.stream) {
+                    Ok(true) => {}
+                    _ => break,
+                },
+                Ok(Some((tag, message))) => match tag {
+                    b'T' | b'C' | b'D' => {
+                        answer.extend_from_slice(message);
+                        done |= tag == b'C';
+                        if tag == b'D' && probe {
+                            row = pg::only_column(pg::body(message)).map(<[u8]>::to_vec);
+                        }
                     }
-                }
-                b'E' => error = Some(outcome_of(pg::error_field(pg::body(message), b'C'))),
-                b'S' => parameter(pg::body(message), &mut note, &mut report),
-                b'Z' => {
-                    let outcome = error.unwrap_or(if done { Outcome::Ok } else { Outcome::Error });
-                    if probe && let Some(row) = &row {
-                        report = report_of(row);
+                    b'E' => error = Some(outcome_of(pg::error_field(pg::body(message), b'C'))),
+                    b'S' => parameter(pg::body(message), &mut heard),
+                    b'Z' => {
+                        let outcome = error.unwrap_or(if done { Outcome::Ok } else { Outcome::Error });
+                        if let Some(row) = &row {
+                            heard.report = report_of(row);
+                        }
+                        return Reply { ending: heard.ending(outcome, answer), open: true };
                     }
-                    return Reply {
-                        ending: Ending { outcome, note, report, answer: Some(answer) },
-                        open: true,
-                    };
+                    _ => {}
+                },
+            }
+        }
+        // The connection is no more. What it said whole before counts.
+        let outcome = error.unwrap_or(if done { Outcome::Ok } else { Outcome::Reset });
+        Reply { ending: heard.ending(outcome, answer), open: false }
+    }
+
+    /// A unit of extended-query messages. Where it must not run twice, Execute is held back until the member
+    /// has taken all that comes ahead of it: until then, nothing can have run.
+    fn unit(&mut self, unit: &Unit, catalogue: &mut Catalogue) -> Option<Reply> {
+        let mut heard = Heard::default();
+        let mut script = Script::new(unit, catalogue);
+        let executes = unit.executes();
+        let ahead = (unit.careful || !executes) && !script.preface.is_empty();
+        if !step(self.state, WAITING, if ahead { PREFACE } else { SENDING }) {
+            // What the script would have prepared was never sent.
+            catalogue.clear();
+            return None;
+        }
+        let mut end = Vec::new();
+        if ahead {
+            let mut preface = std::mem::take(&mut script.preface);
+            pg::put(&mut preface, b'H', &[]);
+            let _ = self.stream.set_read_timeout(Some(PREFACE_WAIT));
+            let taken = self.write(&preface).is_ok() && self.preface(&mut script, catalogue, &mut heard);
+            let _ = self.stream.set_read_timeout(None);
+            if !taken || (script.error.is_none() && executes && !step(self.state, PREFACE, SENDING)) {
+                return Some(Reply::plain(Outcome::ConnectFailed));
+            }
+        } else {
+            end.append(&mut script.preface);
+        }
+        if script.error.is_none() {
+            end.append(&mut script.rest);
+        }
+        pg::put(&mut end, b'S', &[]);
+        if let Err(sent) = self.write(&end) {
+            return Some(Reply::plain(if sent == 0 { Outcome::ConnectFailed } else { Outcome::Reset }));
+        }
+        while let Some(progress) = self.reply(&mut script, catalogue, &mut heard) {
+            match progress {
+                Progress::More => {}
+                Progress::Broken => break,
+                Progress::Ready if script.error.as_deref() == Some(b"26000") => {
+                    // Guards against a member that lost what it had prepared: nothing of the unit stands, and
+                    // the next connection starts with an empty catalogue.
+                    return Some(Reply::plain(Outcome::Full));
                 }
-                _ => {}
-            },
+                Progress::Ready => {
+                    let known = script.error.as_deref().map(|code| outcome_of(Some(code)));
+                    // An error that is the statement's own is its answer: every member would give it.
+                    let own = script.error.as_deref().is_some_and(is_the_statements);
+                    let outcome = known.filter(|_| !own).unwrap_or(Outcome::Ok);
+                    return Some(Reply { ending: heard.ending(outcome, script.answer), open: true });
+                }
+            }
         }
+        Some(Reply::plain(if executes { Outcome::Reset } else { Outcome::ConnectFailed }))
     }
-    // The connection is no more. What it said whole before counts.
-    let outcome = error.unwrap_or(if done { Outcome::Ok } else { Outcome::Reset });
-    Reply { ending: Ending { outcome, note, report, answer: Some(answer) }, open: false }
+
+    /// Reads until the preface is answered; `false` if that does not come.
+    fn preface(&mut self, script: &mut Script, catalogue: &mut Catalogue, heard: &mut Heard) -> bool {
+        while !script.preface_done() {
+            if self.reply(script, catalogue, heard) != Some(Progress::More) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Reads one message; `None` if the connection ends.
+    fn reply(
+        &mut self,
+        script: &mut Script,
+        catalogue: &mut Catalogue,
+        heard: &mut Heard,
+    ) -> Option<Progress> {
+        loop {
+            if let Some((tag, message)) = self.frames.message().ok()? {
+                if tag == b'S' {
+                    parameter(pg::body(message), heard);
+                }
+                return Some(script.take(catalogue, tag, message));
+            }
+            if script.answer.len() > 4 * pg::MAX_MESSAGE || !self.frames.fill(self.stream).ok()? {
+                return None;
+            }
+        }
+    }
+}
+
+/// An error that tells of the statement, not of the member: syntax, names, data, constraints, rights.
+fn is_the_statements(code: &[u8]) -> bool {
+    let class = code.get(..2).unwrap_or_default();
+    let classes = [b"0A", b"21", b"22", b"23", b"24", b"28", b"34", b"42", b"44", b"P0"];
+    classes.iter().any(|c| *c == class)
 }
 
 /// The protocol's table, for errors.
@@ -259,7 +393,8 @@
     }
 }
 
-fn parameter(body: &[u8], note: &mut Note, report: &mut Report) {
+fn parameter(body: &[u8], heard: &mut Heard) {
+    let Heard { note, report } = heard;
     let Some((name, rest)) = pg::cstr(body) else { return };
     let Some((value, _)) = pg::cstr(rest) else { return };
     match name {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,8 +8,9 @@
 
 use crate::config::Config;
 use crate::core::{Core, Effect, Input, LinkId};
-use crate::front::platform::{Platform, Said};
-use crate::front::{Answer, ClientId, Desk, Out, Work};
+use crate::front::platform::{Platform, Query};
+use crate::front::postgres::{Batch, Listen, Postgres};
+use crate::front::{Answer, ClientId, Desk, Lobby, Out, Said, Work};
 use crate::{Micros, Settings};
 use clock::Clock;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
@@ -40,10 +41,12 @@
     Core(Input<Work, Answer>),
     /// News of the member list.
     News(Input<Work, Answer>),
-    /// A new connection.
-    Accepted(TcpStream),
-    /// From a client's reader.
-    Client(ClientId, Said),
+    /// A new connection, and whether it came in on the extended listener.
+    Accepted(TcpStream, bool),
+    /// From a reader of the platform's front.
+    Client(ClientId, Said<Query>),
+    /// From a reader of the extended front.
+    Extended(ClientId, Said<Batch>),
     /// SIGTERM or SIGINT.
     Terminate,
 }
@@ -56,18 +59,22 @@
     std::thread::Builder::new().name(name.into()).stack_size(STACK).spawn(run).map(drop)
 }
 
-/// Serves until it is told to end.
-pub fn serve(config: &Config) -> std::io::Result<()> {
+/// Serves until it is told to end; on the extended listener too, where there is one.
+pub fn serve(config: &Config, extended: Option<Listen>) -> std::io::Result<()> {
     let listener = TcpListener::bind(config.listen)?;
+    let bound = extended.as_ref().map(|e| TcpListener::bind(e.listen)).transpose()?;
     let clock = Clock::start();
     let (messages, inbox) = bounded(UNREAD);
     let budget = config.sockets.saturating_sub(SPARE).max(2);
     let settings = Arc::new(config.settings.clone());
+    let postgres = extended.map(|listen| Postgres::new(listen, settings.clone()).map(Lobby::new));
+    let postgres = postgres.transpose().map_err(std::io::Error::other)?;
     let core = Core::new(config.settings.clone(), config.seed, clock.now(), budget / 2);
     let mut host = Host {
         clock,
         core,
-        platform: Platform::default(),
+        platform: Lobby::new(Platform),
+        postgres,
         desk: Desk::default(),
         settings,
         messages: messages.clone(),
@@ -85,7 +92,12 @@
     let (address, rev, news) = (config.discovery, config.known.rev, messages.clone());
     spawn("discovery", move || discovery::watch(address, rev, &news))?;
     tracing::info!(name = config.name, listen = %listener.local_addr()?, "serving");
-    spawn("accept", move || accept(&listener, &messages))?;
+    if let Some(bound) = bound {
+        tracing::info!(listen = %bound.local_addr()?, "serving extended queries");
+        let messages = messages.clone();
+        spawn("accept", move || accept(&bound, true, &messages))?;
+    }
+    spawn("accept", move || accept(&listener, false, &messages))?;
     host.run(&inbox);
     tracing::info!("ended");
     Ok(())
@@ -101,11 +113,11 @@
     })
 }
 
-fn accept(listener: &TcpListener, messages: &Messages) {
+fn accept(listener: &TcpListener, extended: bool, messages: &Messages) {
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
-                if messages.send(Message::Accepted(stream)).is_err() {
+                if messages.send(Message::Accepted(stream, extended)).is_err() {
                     return;
                 }
             }
@@ -122,7 +134,8 @@
 struct Host {
     clock: Clock,
     core: Core<Work, Answer>,
-    platform: Platform,
+    platform: Lobby<Platform>,
+    postgres: Option<Lobby<Postgres>>,
     desk: Desk,
     settings: Arc<Settings>,
     messages: Messages,
@@ -169,10 +182,12 @@
             if let Some((since, closing)) = self.ending {
                 if !closing && now >= since + CLOSE_AFTER {
                     self.ending = Some((since, true));
-                    let outs = self.platform.close();
+                    let mut outs = self.platform.close();
+                    outs.extend(self.postgres.iter_mut().flat_map(Lobby::close));
                     self.carry_out(now, outs);
                 }
-                if now >= since + SERVE_FOR && self.platform.open() == 0 && self.core.owed() == 0 {
+                let open = self.platform.open() + self.postgres.as_ref().map_or(0, Lobby::open);
+                if now >= since + SERVE_FOR && open == 0 && self.core.owed() == 0 {
                     self.linger();
                     return;
                 }
@@ -198,7 +213,13 @@
                 self.core(now, input);
                 self.ready(now);
             }
-            Message::Accepted(stream) => self.accepted(now, stream),
+            Message::Accepted(stream, extended) => self.accepted(now, stream, extended),
+            Message::Extended(id, said) => {
+                if let Some(postgres) = &mut self.postgres {
+                    let outs = postgres.said(&mut self.desk, now, id, said);
+                    self.carry_out(now, outs);
+                }
+            }
             Message::Client(id, said) => {
                 let outs = self.platform.said(&mut self.desk, now, id, said);
                 self.carry_out(now, outs);
@@ -217,25 +238,33 @@
         }
     }
 
-    fn accepted(&mut self, now: Micros, stream: TcpStream) {
+    fn accepted(&mut self, now: Micros, stream: TcpStream, extended: bool) {
         if self.clients.len() >= self.most_clients {
-            let Some(id) = self.platform.idle() else {
+            let idle = self.platform.evict().or_else(|| self.postgres.as_mut()?.evict());
+            let Some(out) = idle else {
                 tracing::warn!("no room for another client");
                 return;
             };
-            let outs = self.platform.evict(id);
-            self.carry_out(now, outs);
+            self.carry_out(now, vec![out]);
         }
         self.last_client += 1;
         let id = self.last_client;
-        let (settings, messages) = (self.settings.clone(), self.messages.clone());
-        let Some(handle) = client::Handle::open(id, stream, settings, self.clock, messages) else {
+        let dialect = if extended {
+            client::Dialect::Postgres
+        } else {
+            client::Dialect::Platform(self.settings.clone())
+        };
+        let Some(handle) = client::Handle::open(id, stream, dialect, self.clock, self.messages.clone())
+        else {
             tracing::warn!("no thread for another client");
             return;
         };
         self.clients.insert(id, handle);
         let secret = crate::pg::statement::hash(&[self.seed.to_be_bytes(), id.to_be_bytes()].concat()) as u32;
-        let outs = self.platform.said(&mut self.desk, now, id, Said::Connected { secret });
+        let outs = match &mut self.postgres {
+            Some(postgres) if extended => postgres.said(&mut self.desk, now, id, Said::Connected { secret }),
+            _ => self.platform.said(&mut self.desk, now, id, Said::Connected { secret }),
+        };
         self.carry_out(now, outs);
     }
 
@@ -282,11 +311,11 @@
                     }
                 }
                 Effect::Abandon { link, job } => {
-                    let sent = self.links.get(&link).is_none_or(|l| l.abandon(job));
-                    if sent {
+                    let (sent, open) = self.links.get(&link).map_or((true, false), |l| l.abandon(job));
+                    if !open {
                         self.links.remove(&link);
                     }
-                    self.core(now, Input::Abandoned { job, sent });
+                    self.core(now, Input::Abandoned { job, sent, open });
                 }
                 Effect::Close(link) => {
                     if let Some(handle) = self.links.remove(&link) {
@@ -295,7 +324,13 @@
                 }
                 Effect::Answer { request, verdict } => {
                     if let Some(id) = self.desk.close(request) {
-                        let outs = self.platform.answer(&mut self.desk, now, id, request, verdict);
+                        let extended = self.clients.get(&id).is_some_and(|c| c.extended);
+                        let outs = match &mut self.postgres {
+                            Some(front) if extended => {
+                                front.answer(&mut self.desk, now, id, request, verdict)
+                            }
+                            _ => self.platform.answer(&mut self.desk, now, id, request, verdict),
+                        };
                         self.carry_out(now, outs);
                     }
                 }
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -81,6 +81,53 @@
     }
 }
 
+/// Steps over what starts at `at` if it is a comment; `None` if it is none.
+fn comment_end(text: &[u8], at: usize) -> Option<usize> {
+    if text[at..].starts_with(b"--") {
+        return Some(text[at..].iter().position(|b| *b == b'\n').map_or(text.len(), |n| at + n + 1));
+    }
+    text[at..].starts_with(b"/*").then(|| {
+        let end = text[at + 2..].windows(2).position(|w| w == b"*/");
+        end.map_or(text.len(), |n| at + n + 4)
+    })
+}
+
+/// The first word in small letters, behind comments and blanks.
+pub fn first_word(text: &[u8]) -> String {
+    let mut at = 0;
+    while at < text.len() {
+        match comment_end(text, at) {
+            Some(end) => at = end,
+            None if text[at].is_ascii_whitespace() || text[at] == b'(' => at += 1,
+            None => break,
+        }
+    }
+    let word = text[at..].iter().take_while(|b| b.is_ascii_alphanumeric()).take(32);
+    word.map(|b| char::from(b.to_ascii_lowercase())).collect()
+}
+
+/// More than one statement: something other than blanks and comments stands behind a semicolon.
+pub fn several(text: &[u8]) -> bool {
+    let (mut at, mut ended) = (0, false);
+    while at < text.len() {
+        if let Some(end) = comment_end(text, at) {
+            at = end;
+            continue;
+        }
+        match text[at] {
+            b';' => ended = true,
+            b if b.is_ascii_whitespace() => {}
+            _ if ended => return true,
+            quote @ (b'\'' | b'"') => {
+                at += text[at + 1..].iter().position(|b| *b == quote).map_or(text.len(), |n| n + 1);
+            }
+            _ => {}
+        }
+        at += 1;
+    }
+    false
+}
+
 /// The session that a key names: its hexadecimal value, or a hash of it; never 0, which means none.
 pub fn session(key: &[u8]) -> u64 {
     let hex = std::str::from_utf8(key).ok().filter(|k| k.len() <= 16);
@@ -116,6 +163,14 @@
         assert_eq!(f.key, Some(&b"k"[..]));
     }
 
+    #[test]
+    fn the_first_word_and_further_statements_are_found_behind_comments_and_literals() {
+        assert_eq!(first_word(b" -- x\n/* y */ BEGIN;"), "begin");
+        assert_eq!(first_word(b"/*"), "");
+        assert!(several(b"SELECT 1; SELECT 2") && several(b"SELECT ';' ; x"));
+        assert!(!several(b"SELECT ';x' /* ; y */ ; -- z") && !several(b"';") && !several(b""));
+    }
+
     #[test]
     fn what_is_missing_or_cut_stays_unset() {
         for text in [&b""[..], b"/*", b"'", b"/* c", b"/* d=x,cluster=-1 */", b"/* d=99999999999999999999 */"]
--- /dev/null
+++ b/tests/proxy/extended.rs
@@ -0,0 +1,159 @@
+//! The extended front: above all, that no write runs twice and each request gets exactly one final answer.
+
+use crate::rig::*;
+use insta::assert_snapshot;
+
+const WRITE: &str = "P w INSERT INTO entries VALUES ($1, 'x') /* d=400 */";
+const READ: &str = "P r SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */";
+
+/// Sends a unit with an empty query's worth of proof behind it that there was only one answer.
+fn ask(client: &mut Client, script: &str) -> String {
+    client.send(&messages(script));
+    let answer = client.answer();
+    client.send(&messages("S"));
+    assert_eq!(client.answer(), "Z", "exactly one answer, after {answer}");
+    answer
+}
+
+fn pair() -> (Server, Server, Proxy) {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    (primary, replica, proxy)
+}
+
+#[test]
+fn a_unit_is_one_request() {
+    let (primary, replica, proxy) = pair();
+    let mut client = proxy.extended();
+    assert_snapshot!(ask(&mut client, &format!("{READ} | DS r | S")), @"1 t n Z");
+    assert_snapshot!(ask(&mut client, "B p r | DP p | E p | CP p | S"), @"2 n D(value) C 3 Z");
+    assert_snapshot!(ask(&mut client, &format!("{WRITE} | B - w | E - | B - w | E - | S")), @"1 2 D(value) C 2 D(value) C Z");
+    assert_eq!((primary.runs(), replica.runs()), (2, 1));
+    assert_snapshot!(client.query(&write(1, 900)), @"T D(value) C Z");
+    assert_snapshot!(client.query(""), @"I Z");
+}
+
+#[test]
+fn a_hang_after_execute_is_a_failure_and_the_write_never_runs_twice() {
+    for does in
+        [Does::Hang(b'E'), Does::Reset(b'E'), Does::HalfAnswer, Does::Hang(b'S'), Does::Error("XX000")]
+    {
+        let (primary, replica, proxy) = pair();
+        let mut client = proxy.extended();
+        assert_eq!(ask(&mut client, &format!("{WRITE} | S")), "1 Z");
+        primary.plan(&[does]);
+        assert_eq!(ask(&mut client, "B - w | E - | S"), "E(08007) Z", "{does:?}");
+        let ran = usize::from(does != Does::Error("XX000"));
+        assert_eq!(primary.runs() + replica.runs(), ran, "{does:?}");
+    }
+}
+
+#[test]
+fn a_hang_before_execute_ran_nothing_so_the_write_is_sent_again_and_runs_once() {
+    for does in [Does::Hang(b'P'), Does::Hang(b'B'), Does::Reset(b'P'), Does::Reset(b'B')] {
+        let (primary, replica, proxy) = pair();
+        let mut client = proxy.extended();
+        primary.plan(&[does]);
+        let unit = format!("{} | B - w | E - | S", WRITE.replace("d=400", "d=4000"));
+        let answer = ask(&mut client, &unit);
+        assert_eq!(answer, "1 2 D(value) C Z", "{does:?}");
+        assert_eq!((primary.runs(), replica.runs()), (1, 0), "{does:?}");
+    }
+}
+
+#[test]
+fn a_read_cut_off_is_tried_again() {
+    let (primary, replica, proxy) = pair();
+    let mut client = proxy.extended();
+    replica.plan(&[Does::Reset(b'E')]);
+    assert_snapshot!(ask(&mut client, &format!("{READ} | B - r | E - | S")), @"1 2 D(value) C Z");
+    assert_eq!((primary.runs(), replica.runs()), (1, 1));
+}
+
+#[test]
+fn a_statement_is_prepared_on_the_box_that_misses_it_and_the_client_does_not_see_it() {
+    let (primary, one, two) = (Server::start(true), Server::start(false), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &one, &two]);
+    let mut client = proxy.extended();
+    assert_eq!(ask(&mut client, &format!("{READ} | S")), "1 Z");
+    for _ in 0..4 {
+        assert_eq!(ask(&mut client, "B - r | E - | S"), "2 D(value) C Z");
+    }
+    let parses = |s: &Server| s.log().iter().filter(|l| l.starts_with("P ")).count();
+    assert_eq!((parses(&one), parses(&two)), (1, 1), "once on each");
+    assert_eq!((one.runs(), two.runs()), (2, 2), "ties in turn");
+}
+
+#[test]
+fn names_of_different_clients_do_not_collide() {
+    let (_primary, replica, proxy) = pair();
+    let (mut a, mut b) = (proxy.extended(), proxy.extended());
+    let other = READ.replace("payload", "other");
+    assert_eq!(ask(&mut a, &format!("{READ} | S")), "1 Z");
+    assert_eq!(ask(&mut b, &format!("{other} | S")), "1 Z");
+    assert_eq!(ask(&mut a, "B - r | E - | S"), "2 D(value) C Z");
+    assert_eq!(ask(&mut b, "B - r | E - | S"), "2 D(value) C Z");
+    let runs = replica.seen.lock().unwrap().runs.join("\n");
+    assert_snapshot!(runs, @r"
+    SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */
+    SELECT other FROM entries WHERE ref = $1 /* c=any,d=900 */
+    ");
+}
+
+#[test]
+fn errors_skip_to_the_sync_and_leave_the_catalogue_as_it_was() {
+    let (primary, _replica, proxy) = pair();
+    let mut client = proxy.extended();
+    assert_snapshot!(ask(&mut client, "B - none | E - | S"), @"E(26000) Z");
+    assert_snapshot!(ask(&mut client, "E none | S"), @"E(34000) Z");
+    assert_snapshot!(ask(&mut client, "P b BEGIN | B - b | E - | S"), @"E(0A000) Z");
+    assert_snapshot!(ask(&mut client, "P c COPY t FROM STDIN | S"), @"E(0A000) Z");
+    assert_snapshot!(ask(&mut client, "P c SELECT 1; SELECT 2 | S"), @"E(0A000) Z");
+    assert_snapshot!(ask(&mut client, "P c INSERT INTO t VALUES (1) /* c=any */ | S"), @"E(0A000) Z");
+    primary.plan(&[Does::Error("23505")]);
+    assert_snapshot!(ask(&mut client, &format!("{WRITE} | B - w | E - | S")), @"1 2 E(23505) Z");
+    assert_snapshot!(ask(&mut client, "B - w | E - | S"), @"2 D(value) C Z");
+    primary.plan(&[Does::Error("42601")]);
+    client.send(&messages("B - w | E - | S | B - w | E - | S"));
+    assert_snapshot!(format!("{} | {}", client.answer(), client.answer()), @"2 E(42601) Z | 2 D(value) C Z");
+}
+
+#[test]
+fn a_flush_answers_what_came_so_far() {
+    let (primary, _replica, proxy) = pair();
+    let mut client = proxy.extended();
+    client.send(&messages(&format!("{WRITE} | DS w | H")));
+    assert_snapshot!(client.answers(|t| t == b'n'), @"1 t n");
+    client.send(&messages("B p w | DP p | H"));
+    assert_snapshot!(client.answers(|t| t == b'n'), @"2 n");
+    client.send(&messages("E p | H"));
+    assert_snapshot!(client.answers(|t| t == b'C'), @"D(value) C");
+    client.send(&messages("B p w | E p | H | S"));
+    assert_snapshot!(client.answer(), @"E(0A000) Z");
+    assert_eq!(primary.runs(), 1);
+}
+
+#[test]
+fn a_client_that_leaves_mid_pipeline_ends_its_attempt() {
+    let (primary, _replica, proxy) = pair();
+    let mut client = proxy.extended();
+    primary.plan(&[Does::Hang(b'E')]);
+    let unit = WRITE.replace("d=400", "d=15000");
+    client.send(&messages(&format!("{unit} | B - w | E - | S | B - w | E - | S")));
+    primary.wait("hang");
+    drop(client);
+    primary.wait("end");
+    assert_eq!(primary.runs(), 1);
+}
+
+#[test]
+fn a_clients_statements_are_bounded() {
+    let (_primary, _replica, proxy) = pair();
+    let mut client = proxy.extended();
+    for n in 0..3 {
+        assert_eq!(ask(&mut client, &format!("{} | S", READ.replace("P r", &format!("P s{n}")))), "1 Z");
+    }
+    assert_snapshot!(ask(&mut client, &format!("{READ} | S")), @"E(54000) Z");
+    assert_snapshot!(ask(&mut client, "CS s0 | S"), @"3 Z");
+    assert_snapshot!(ask(&mut client, &format!("{READ} | S")), @"1 Z");
+}
--- /dev/null
+++ b/tests/proxy/main.rs
@@ -0,0 +1,7 @@
+//! The real program as a process, between stand-ins for its clients, members and discovery.
+
+#![allow(missing_docs)]
+
+mod extended;
+mod platform;
+mod rig;
--- /dev/null
+++ b/tests/proxy/platform.rs
@@ -0,0 +1,194 @@
+//! The platform's front: each test stands for a failure that was found or is guarded against.
+
+use crate::rig::*;
+use insta::assert_snapshot;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_statement_goes_on_unchanged_but_for_its_wait() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    let mut client = proxy.client();
+    assert_snapshot!(client.query(&read(7)), @"T D(value) C Z");
+    let seen = replica.log().pop().unwrap();
+    let (head, tail) = (seen.split_once("d=").unwrap().0, seen.split_once(",cluster").unwrap().1);
+    let sent = read(7);
+    assert_eq!((head, tail), (sent.split_once("d=").unwrap().0, sent.split_once(",cluster").unwrap().1));
+    assert_snapshot!(client.query(&write(8, 900)), @"T D(value) C Z");
+    assert_eq!((primary.runs(), replica.runs()), (1, 1));
+}
+
+#[test]
+fn split_and_pipelined_messages_are_answered_in_order() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    let mut client = Client::raw(proxy.address);
+    client.send(&[0, 0, 0, 8, 4, 210, 22, 47]);
+    let mut no = [0];
+    std::io::Read::read_exact(&mut client.stream, &mut no).unwrap();
+    assert_eq!(&no, b"N");
+    let all = [startup(), simple(&read(1)), simple(""), simple(&write(2, 900))].concat();
+    for part in all.chunks(3) {
+        client.send(part);
+    }
+    client.greeting();
+    let answers = [client.answer(), client.answer(), client.answer()];
+    assert_snapshot!(answers.join(" | "), @"T D(value) C Z | I Z | T D(value) C Z");
+}
+
+#[test]
+fn bad_input_gets_08p01_and_malformed_messages_a_close() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let mut client = proxy.client();
+    assert_snapshot!(client.query(&read(1).replace("c=any", "c=none")), @"E(08P01) Z");
+    assert_snapshot!(client.query(&read(1).replace("d=900", "d=x")), @"E(08P01) Z");
+    assert_snapshot!(client.query("SELECT 1"), @"E(08P01) Z");
+    assert_snapshot!(client.query(&read(2)), @"T D(value) C Z");
+    client.send(b"Q\0\0\0\x02");
+    assert_snapshot!(client.answer(), @"E(08P01) end");
+    let mut other = proxy.client();
+    other.send(&messages("S"));
+    assert_snapshot!(other.answer(), @"E(0A000) end");
+}
+
+#[test]
+fn a_write_that_hangs_gets_one_failure_in_time_and_runs_once() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut client = proxy.client();
+    let sent = Instant::now();
+    client.send(&[simple(&write(1, 400)), simple("")].concat());
+    assert_snapshot!(client.answer(), @"E(08007) Z");
+    assert!(sent.elapsed() < Duration::from_millis(450));
+    assert_snapshot!(client.answer(), @"I Z");
+    assert_eq!(primary.runs() + replica.runs(), 1);
+}
+
+#[test]
+fn a_write_cut_off_is_not_sent_again_and_a_read_is() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    let mut client = proxy.client();
+    assert_eq!(client.query(&write(1, 900)), "T D(value) C Z");
+    replica.plan(&[Does::Reset(b'Q')]);
+    assert_snapshot!(client.query(&read(3)), @"T D(value) C Z");
+    primary.plan(&[Does::Reset(b'Q')]);
+    assert_snapshot!(client.query(&write(2, 900)), @"E(08007) Z");
+    assert_eq!(primary.runs() + replica.runs(), 4);
+}
+
+#[test]
+fn a_connection_closed_while_idle_does_not_cost_a_write() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    primary.plan(&[Does::ServeAndClose]);
+    let mut client = proxy.client();
+    assert_eq!(client.query(&write(1, 900)), "T D(value) C Z");
+    primary.wait("end");
+    assert_snapshot!(client.query(&write(2, 900)), @"T D(value) C Z");
+    assert_eq!(primary.runs(), 2);
+}
+
+#[test]
+fn an_error_that_proves_nothing_ran_is_a_refusal_and_others_are_failures() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let mut client = proxy.client();
+    primary.plan(&[Does::Error("XX000")]);
+    assert_snapshot!(client.query(&write(1, 400)), @"E(08007) Z");
+    primary.plan(&[Does::Error("53300"); 8]);
+    assert_snapshot!(client.query(&write(2, 400)), @"E(53300) Z");
+    assert_eq!(primary.runs(), 0);
+}
+
+#[test]
+fn nothing_new_goes_to_a_member_that_drains() {
+    let (primary, one, two) = (Server::start(true), Server::start(false), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &one, &two]);
+    proxy.discovery.cut();
+    proxy.discovery.watched();
+    let entry = target(1, &one, "DRAINING");
+    proxy.discovery.push(&format!(r#"{{"rev":2,"all":false,"targets":[{entry}]}}"#));
+    let told = Instant::now();
+    let mut client = proxy.client();
+    while told.elapsed() < Duration::from_millis(500) {
+        client.query(&read(1));
+    }
+    let before = one.runs();
+    for id in 2..12 {
+        assert_eq!(client.query(&read(id)), "T D(value) C Z");
+    }
+    assert_eq!(one.runs(), before);
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut client = proxy.client();
+    client.send(&simple(&write(1, 15_000)));
+    primary.wait("hang");
+    drop(client);
+    primary.wait("end");
+}
+
+#[test]
+fn a_cancel_request_ends_the_request_with_one_answer() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut client = proxy.client();
+    client.send(&simple(&write(1, 15_000)));
+    primary.wait("hang");
+    let mut cancel = Client::raw(proxy.address);
+    cancel.send(&[&[0, 0, 0, 16, 4, 210, 22, 46][..], &client.key].concat());
+    assert_snapshot!(client.answer(), @"E(08007) Z");
+    assert_snapshot!(client.query(&read(2)), @"T D(value) C Z");
+}
+
+#[test]
+fn sigterm_serves_on_for_a_while_then_ends_clean() {
+    let primary = Server::start(true);
+    let mut proxy = Proxy::start(&[&primary]);
+    let mut kept = proxy.client();
+    let asked = Instant::now();
+    proxy.signal("-TERM");
+    while asked.elapsed() < Duration::from_millis(400) {
+        assert_eq!(kept.query(&read(1)), "T D(value) C Z");
+    }
+    assert_eq!(kept.answer(), "end", "closed between requests");
+    let mut late = proxy.client();
+    assert_eq!(late.query(&read(2)), "T D(value) C Z", "a late connection is still served");
+    assert!(asked.elapsed() < Duration::from_millis(900));
+    assert_eq!(late.answer(), "end");
+    assert!(proxy.child.wait().unwrap().success());
+    assert!(asked.elapsed() > Duration::from_millis(700));
+}
+
+#[test]
+fn few_descriptors_are_survived() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_by(&[&primary], "ulimit -n 24; exec \"$0\" serve");
+    let crowd: Vec<_> = (0..40).map(|_| Client::raw(proxy.address)).collect();
+    drop(crowd);
+    let mut client = proxy.client();
+    assert_snapshot!(client.query(&read(1)), @"T D(value) C Z");
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_exits_2_with_one_line() {
+    for (config, says) in [("/nowhere", "No such file"), ("/dev/null", "EOF"), ("", "GW_CONFIG is not set")] {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_liftrelay"));
+        command.arg("serve").env_remove("GW_CONFIG");
+        if !config.is_empty() {
+            command.env("GW_CONFIG", config);
+        }
+        let out = command.output().unwrap();
+        let text = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(2), "{text}");
+        assert!(text.lines().count() == 1 && text.contains(says), "{text}");
+    }
+}
--- /dev/null
+++ b/tests/proxy/rig.rs
@@ -0,0 +1,499 @@
+//! Stand-ins on loopback: members, discovery and clients, around the real program as a process.
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Longer than anything here takes; reached only by a test that fails.
+const LONG: Duration = Duration::from_secs(20);
+
+/// What a member does with its next request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Does {
+    /// Answers.
+    Serve,
+    /// Takes the message of this type and says nothing any more.
+    Hang(u8),
+    /// Takes the message of this type and resets the connection.
+    Reset(u8),
+    /// Begins its answer and says nothing any more.
+    HalfAnswer,
+    /// Answers an error.
+    Error(&'static str),
+    /// Answers, then closes the idle connection.
+    ServeAndClose,
+}
+
+#[derive(Default)]
+pub struct Seen {
+    /// Types of messages and texts of statements, in order.
+    pub log: Vec<String>,
+    /// Statements that were run.
+    pub runs: Vec<String>,
+    pub plan: VecDeque<Does>,
+}
+
+#[derive(Clone)]
+pub struct Server {
+    pub address: SocketAddr,
+    pub primary: bool,
+    pub seen: Arc<Mutex<Seen>>,
+    /// A word when a connection ends, and when a message was taken that is not answered.
+    pub ended: Arc<Mutex<Receiver<&'static str>>>,
+}
+
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+pub fn put(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
+    out.push(tag);
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+}
+
+/// Reads one message, or `None` at the end.
+pub fn message(stream: &mut impl Read) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+fn cstr(body: &[u8]) -> (String, &[u8]) {
+    let end = body.iter().position(|b| *b == 0).unwrap_or(body.len());
+    (String::from_utf8_lossy(&body[..end]).into(), body.get(end + 1..).unwrap_or_default())
+}
+
+impl Server {
+    pub fn start(primary: bool) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (words, ended) = channel();
+        let server = Server {
+            address: listener.local_addr().unwrap(),
+            primary,
+            seen: Arc::default(),
+            ended: Arc::new(Mutex::new(ended)),
+        };
+        let at = server.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (at, words) = (at.clone(), words.clone());
+                std::thread::spawn(move || {
+                    at.talk(stream, &words);
+                    let _ = words.send("end");
+                });
+            }
+        });
+        server
+    }
+
+    pub fn plan(&self, does: &[Does]) {
+        self.seen.lock().unwrap().plan.extend(does);
+    }
+
+    pub fn runs(&self) -> usize {
+        self.seen.lock().unwrap().runs.len()
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.seen.lock().unwrap().log.clone()
+    }
+
+    /// Waits until a connection says this word.
+    pub fn wait(&self, word: &str) {
+        let ended = self.ended.lock().unwrap();
+        while ended.recv_timeout(LONG).expect("the word comes") != word {}
+    }
+
+    fn talk(&self, mut stream: TcpStream, words: &Sender<&'static str>) -> Option<()> {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).ok()?;
+        let mut body = vec![0; u32::from_be_bytes(length) as usize - 4];
+        stream.read_exact(&mut body).ok()?;
+        let mut out = Vec::new();
+        put(&mut out, b'R', &[0; 4]);
+        put(&mut out, b'Z', b"I");
+        stream.write_all(&out).ok()?;
+        let mut prepared = std::collections::HashMap::new();
+        let mut bound = std::collections::HashMap::new();
+        let (mut out, mut does, mut failed) = (Vec::new(), None, false);
+        loop {
+            let (tag, body) = message(&mut stream)?;
+            let mut seen = self.seen.lock().unwrap();
+            if tag == b'Q' && cstr(&body).0 == "SHOW health" {
+                drop(seen);
+                let report = format!("x0={},x1={}", now_ms(), u8::from(self.primary));
+                self.row(&mut out, report.as_bytes());
+                self.ready(&mut out);
+                stream.write_all(&std::mem::take(&mut out)).ok()?;
+                continue;
+            }
+            let act = *does.get_or_insert_with(|| seen.plan.pop_front().unwrap_or(Does::Serve));
+            let first = cstr(&body).0;
+            match tag {
+                b'Q' => seen.log.push(first.clone()),
+                b'P' => seen.log.push(format!("P {first}: {}", cstr(cstr(&body).1).0)),
+                b'B' => seen.log.push(format!("B {}", cstr(cstr(&body).1).0)),
+                _ => seen.log.push(char::from(tag).into()),
+            }
+            let mut error = if let Does::Error(code) = act { Some(code) } else { None };
+            let what =
+                if tag == b'Q' { first.clone() } else { bound.get(&first).cloned().unwrap_or_default() };
+            if what.starts_with("INSERT") && !self.primary {
+                error = Some("25006");
+            }
+            if !failed && (tag == b'Q' || tag == b'E') && error.is_none() {
+                seen.runs.push(what);
+            }
+            drop(seen);
+            match act {
+                Does::Hang(at) if at == tag => {
+                    let _ = words.send("hang");
+                    while message(&mut stream).is_some() {}
+                    return None;
+                }
+                Does::Reset(at) if at == tag => return None,
+                Does::HalfAnswer if tag == b'Q' || tag == b'E' => {
+                    out.extend(b"D\0\0\0\x20half");
+                    stream.write_all(&out).ok()?;
+                    let _ = words.send("hang");
+                    while message(&mut stream).is_some() {}
+                    return None;
+                }
+                _ => {}
+            }
+            match (tag, error) {
+                (b'Q' | b'E', Some(code)) if !failed => {
+                    put(&mut out, b'E', format!("SERROR\0C{code}\0Mplanned\0\0").as_bytes());
+                    failed = true;
+                }
+                _ if failed => {}
+                (b'Q', _) => self.row(&mut out, b"value"),
+                (b'P', _) => {
+                    prepared.insert(first, cstr(cstr(&body).1).0);
+                    put(&mut out, b'1', &[]);
+                }
+                (b'B', _) => {
+                    let name = cstr(cstr(&body).1).0;
+                    let Some(sql) = prepared.get(&name) else { panic!("{name} is not prepared here") };
+                    bound.insert(first, sql.clone());
+                    put(&mut out, b'2', &[]);
+                }
+                (b'D', _) => {
+                    if body[0] == b'S' {
+                        put(&mut out, b't', &[0, 0]);
+                    }
+                    put(&mut out, b'n', &[]);
+                }
+                (b'E', _) => {
+                    put(&mut out, b'D', &[&[0, 1, 0, 0, 0, 5][..], b"value"].concat());
+                    put(&mut out, b'C', b"DONE\0");
+                }
+                (b'C', _) => put(&mut out, b'3', &[]),
+                _ => {}
+            }
+            if tag == b'Q' || tag == b'S' {
+                self.ready(&mut out);
+                (does, failed) = (None, false);
+                bound.clear();
+            }
+            if matches!(tag, b'Q' | b'S' | b'H') {
+                stream.write_all(&std::mem::take(&mut out)).ok()?;
+            }
+            if act == Does::ServeAndClose && matches!(tag, b'Q' | b'S') {
+                return None;
+            }
+        }
+    }
+
+    fn row(&self, out: &mut Vec<u8>, value: &[u8]) {
+        put(out, b'T', b"\0\x01v\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+        let length = (value.len() as u32).to_be_bytes();
+        put(out, b'D', &[&[0, 1][..], &length, value].concat());
+        put(out, b'C', b"DONE\0");
+    }
+
+    fn ready(&self, out: &mut Vec<u8>) {
+        let role = if self.primary { "off" } else { "on" };
+        put(out, b'S', format!("recovery\0{role}\0").as_bytes());
+        put(out, b'S', format!("lsn_ms\0{}\0", now_ms()).as_bytes());
+        put(out, b'Z', b"I");
+    }
+}
+
+/// Discovery: every watch gets the whole list, then what is pushed.
+pub struct Discovery {
+    address: SocketAddr,
+    news: Arc<Mutex<Vec<TcpStream>>>,
+    watched: Receiver<()>,
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
+}
+
+impl Discovery {
+    fn start(list: String) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let news: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let (tell, watched) = channel();
+        let streams = news.clone();
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut line = String::new();
+                while reader.read_line(&mut line).is_ok_and(|n| n > 2) {
+                    line.clear();
+                }
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let _ = stream.write_all(format!("{head}{}", chunk(&list)).as_bytes());
+                streams.lock().unwrap().push(stream);
+                let _ = tell.send(());
+            }
+        });
+        Discovery { address, news, watched }
+    }
+
+    /// Tells all watches.
+    pub fn push(&self, text: &str) {
+        for stream in self.news.lock().unwrap().iter_mut() {
+            let _ = stream.write_all(chunk(text).as_bytes());
+        }
+    }
+
+    /// Ends all watches.
+    pub fn cut(&self) {
+        self.news.lock().unwrap().clear();
+    }
+
+    /// Waits for a new watch.
+    pub fn watched(&self) {
+        self.watched.recv_timeout(LONG).expect("a watch comes");
+    }
+}
+
+pub struct Proxy {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub extended: Option<SocketAddr>,
+    pub discovery: Discovery,
+    folder: std::path::PathBuf,
+}
+
+pub fn target(uid: usize, server: &Server, state: &str) -> String {
+    let (at, role) = (server.address, if server.primary { "off" } else { "on" });
+    format!(
+        r#"{{"uid":"s-{uid}","endpoint":"{at}","az":"a","model":"m","pod_group":2,"state":"{state}","capacity_hint":1.0,"boot_ms":0,"recovery":"{role}"}}"#
+    )
+}
+
+const SETTINGS: &str = r#"{"request_classes":[
+ {"name":"own","aim_us":400000,"deadline_us":1200000,"effect":"safe","credit":3},
+ {"name":"any","aim_us":400000,"deadline_us":1000000,"effect":"safe","credit":3,"late_share":0.2},
+ {"name":"write","aim_us":600000,"deadline_us":5000000,"effect":"unsafe","credit":6,"late_share":0.7}],
+ "family_info":{"when_behind":"hold","freshness":["own_writes","loose","update"],"counted_from_us":0,
+ "catch_up_wait_us":50000},"limits":{"max_attempts":8,"probes":true,"cancel":true},"resolution_us":5000,
+ "stats":{"fields":["x0","x1"],"how":"pull"},
+ "contract":{"cold_from":0.2,"cold_us":1000000,"fall_multiple":2.0,"fall_us":1000000}}"#;
+
+impl Proxy {
+    /// Starts the program in front of these members, and waits until it is ready and has heard its primary.
+    pub fn start(servers: &[&Server]) -> Proxy {
+        let proxy = Proxy::start_by(servers, "exec \"$0\" serve --postgres \"$1\"");
+        assert_eq!(proxy.client().query(&write(0, 900)), "T D(value) C Z");
+        servers.iter().for_each(|s| *s.seen.lock().unwrap() = Seen::default());
+        proxy
+    }
+
+    pub fn start_by(servers: &[&Server], shell: &str) -> Proxy {
+        let targets: Vec<_> = servers.iter().enumerate().map(|(n, s)| target(n, s, "SERVING")).collect();
+        let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, targets.join(","));
+        let discovery = Discovery::start(list);
+        static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("liftrelay-{}-{count}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (config, postgres) = (folder.join("config.json"), folder.join("postgres.toml"));
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":1024}},"settings":{SETTINGS}}}"#,
+            discovery.address
+        );
+        std::fs::write(&config, text).unwrap();
+        let text = "listen = '127.0.0.1:0'\nread_class = 'own'\nwrite_class = 'write'\ngroup = 2\n\
+            wait_ms = 3000\nsession_parameter = 1\nstatements = 3\n";
+        std::fs::write(&postgres, text).unwrap();
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", shell, env!("CARGO_BIN_EXE_liftrelay")])
+            .arg(&postgres)
+            .env("GW_CONFIG", &config)
+            .env_remove("GW_LISTEN")
+            .env_remove("GW_DISCOVERY")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let wants_extended = shell.contains("--postgres");
+        let (mut address, mut extended) = (None, None);
+        while address.is_none() || (wants_extended && extended.is_none()) {
+            let line = lines.next().expect("the program says where it listens");
+            let Some((_, at)) = line.split_once("listen=") else { continue };
+            let at = at.trim_matches(|c: char| !c.is_ascii_digit()).parse().unwrap();
+            *if line.contains("extended") { &mut extended } else { &mut address } = Some(at);
+        }
+        std::thread::spawn(move || lines.for_each(drop));
+        let proxy = Proxy { child, address: address.unwrap(), extended, discovery, folder };
+        proxy.discovery.watched();
+        let mut client = proxy.client();
+        assert_eq!(client.query(""), "I Z", "ready once an empty query is answered");
+        proxy
+    }
+
+    pub fn client(&self) -> Client {
+        Client::open(self.address)
+    }
+
+    pub fn extended(&self) -> Client {
+        Client::open(self.extended.unwrap())
+    }
+
+    pub fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    /// The body of BackendKeyData.
+    pub key: Vec<u8>,
+}
+
+pub fn startup() -> Vec<u8> {
+    let text = b"user\0web\0database\0orders\0\0";
+    [&(text.len() as u32 + 8).to_be_bytes()[..], &[0, 3, 0, 0], text].concat()
+}
+
+impl Client {
+    pub fn open(address: SocketAddr) -> Client {
+        let mut client = Client::raw(address);
+        client.stream.write_all(&startup()).unwrap();
+        client.greeting();
+        client
+    }
+
+    pub fn raw(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { stream, key: Vec::new() }
+    }
+
+    pub fn greeting(&mut self) {
+        loop {
+            let (tag, body) = message(&mut self.stream).expect("a greeting");
+            match tag {
+                b'K' => self.key = body,
+                b'Z' => return,
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads up to ReadyForQuery or the end, and tells it in a line.
+    pub fn answer(&mut self) -> String {
+        self.answers(|tag| tag == b'Z')
+    }
+
+    /// The same, up to the message that `last` knows.
+    pub fn answers(&mut self, last: impl Fn(u8) -> bool) -> String {
+        let mut told = Vec::new();
+        loop {
+            let Some((tag, body)) = message(&mut self.stream) else {
+                told.push("end".to_string());
+                break;
+            };
+            let text = match tag {
+                b'D' => format!("D({})", String::from_utf8_lossy(&body[6..])),
+                b'E' => {
+                    let fields = body.split(|b| *b == 0);
+                    let code = fields.filter_map(|f| f.strip_prefix(b"C")).next().unwrap();
+                    format!("E({})", String::from_utf8_lossy(code))
+                }
+                _ => char::from(tag).to_string(),
+            };
+            told.push(text);
+            if last(tag) {
+                break;
+            }
+        }
+        told.join(" ")
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    pub fn query(&mut self, text: &str) -> String {
+        self.send(&simple(text));
+        self.answer()
+    }
+}
+
+pub fn simple(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    put(&mut out, b'Q', format!("{text}\0").as_bytes());
+    out
+}
+
+pub fn read(id: u32) -> String {
+    format!(
+        "SELECT payload FROM entries WHERE ref = '7f3a9c21e0b4d655' /* id={id:x},c=any,d=900,cluster=2 */"
+    )
+}
+
+pub fn write(id: u32, wait: u32) -> String {
+    format!("INSERT INTO entries VALUES ('7f', '\\x9f') /* id={id:x},c=write,d={wait},cluster=2 */")
+}
+
+/// Extended messages, in short: `P name sql`, `B portal name parameter`, `E portal`, `DS name`, `DP portal`,
+/// `CS name`, `CP portal`, `H`, `S`, parted by `|`.
+pub fn messages(script: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    for part in script.split('|').map(str::trim) {
+        let mut words = part.splitn(3, ' ');
+        let (kind, name, rest) =
+            (words.next().unwrap(), words.next().unwrap_or(""), words.next().unwrap_or(""));
+        let name = if name == "-" { "" } else { name };
+        match kind {
+            "P" => put(&mut out, b'P', format!("{name}\0{rest}\0\0\0").as_bytes()),
+            "B" => {
+                let (statement, value) = rest.split_once(' ').unwrap_or((rest, "7f"));
+                let statement = if statement == "-" { "" } else { statement };
+                let mut body = format!("{name}\0{statement}\0\0\0\0\x01").into_bytes();
+                body.extend((value.len() as u32).to_be_bytes());
+                body.extend(value.as_bytes());
+                body.extend([0, 0]);
+                put(&mut out, b'B', &body);
+            }
+            "E" => put(&mut out, b'E', format!("{name}\0\0\0\0\0").as_bytes()),
+            "DS" | "DP" | "CS" | "CP" => {
+                put(&mut out, kind.as_bytes()[0], format!("{}{name}\0", &kind[1..]).as_bytes());
+            }
+            _ => put(&mut out, kind.as_bytes()[0], &[]),
+        }
+    }
+    out
+}
