Keep configuration and state in a small replicated log; log as RFC 5424 syslog

Nothing in the module or on the platform's path is changed here but the form of the log's lines. Syslog: a tracing layer with a bounded queue for each sink; tests read TCP and UDP as a collector would.

--- a/src/config.rs
+++ b/src/config.rs
@@ -28,6 +28,9 @@
     pub known: List,
     /// What the decisions are told.
     pub settings: Settings,
+    /// The same as it was written, for the store.
+    #[serde(skip)]
+    pub told: serde_json::Value,
 }
 
 #[derive(Debug, Deserialize)]
@@ -55,6 +58,8 @@
         let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
         let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
         let mut config: Config = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let whole: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        config.told = whole["settings"].clone();
         let address = |name: &str, value: &mut SocketAddr| match std::env::var(name) {
             Ok(text) => text.parse().map(|a| *value = a).map_err(|_| format!("{name} is no address: {text}")),
             Err(_) => Ok(()),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -345,7 +345,10 @@
                         }
                     }
                     Action::Cancel { request, attempt } => {
-                        let wanted = |p: &Purpose| matches!(p, Purpose::Attempt { request: r, attempt: a } if (*r, *a) == (request, attempt));
+                        let wanted = |p: &Purpose| match p {
+                            Purpose::Attempt { request: r, attempt: a } => (*r, *a) == (request, attempt),
+                            Purpose::Probe => false,
+                        };
                         let job = self.jobs.iter().find(|(_, r)| wanted(&r.purpose)).map(|(job, _)| *job);
                         job.into_iter().for_each(|job| self.abandon(job, Outcome::Cancelled));
                     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::core::{Arrival, Verdict};
 use crate::pg::{self, Malformed, Opening};
+use crate::store::Change;
 use crate::{Micros, Request, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
@@ -69,6 +70,8 @@
     Take(Arrival<Work>),
     /// A request's client has gone or given it up.
     Left(RequestId),
+    /// The store is to note this.
+    Note(Change),
 }
 
 /// What is asked of the core.
@@ -114,6 +117,10 @@
         command: Self::Command,
         ready: bool,
     ) -> Step<Self::Command>;
+    /// What the store is to note since the last call.
+    fn notes(&mut self) -> Vec<Change> {
+        Vec::new()
+    }
     /// The answer of the request that [`Talk::start`] asked for, up to ReadyForQuery.
     fn finish(&mut self, session: &mut Self::Session, verdict: Verdict<Answer>) -> Vec<u8>;
 }
@@ -265,7 +272,9 @@
             && let Some(command) = client.queue.pop_front()
         {
             let since = T::read_at(&command).max(client.free_at);
-            match self.talk.start(&mut client.session, command, self.ready) {
+            let step = self.talk.start(&mut client.session, command, self.ready);
+            out.extend(self.talk.notes().into_iter().map(Out::Note));
+            match step {
                 Step::Wait(command) => {
                     client.queue.push_front(command);
                     return;
--- a/src/front/postgres.rs
+++ b/src/front/postgres.rs
@@ -10,9 +10,10 @@
 use crate::core::Verdict;
 use crate::net::clock::from_unix_ms;
 use crate::pg::{self, statement};
+use crate::store::{Change, Statement};
 use crate::{Effect, Micros, Need, Settings};
 use serde::Deserialize;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -22,6 +23,8 @@
 const NO_PORTAL: &str = "34000";
 /// SQLSTATE: more than the listener allows.
 const LIMIT: &str = "54000";
+/// Statements remembered as noted before they are noted anew.
+const NOTED: usize = 1024;
 /// Sessions whose last commit is remembered, over all clients.
 const COMMITS: usize = 16 * 1024;
 
@@ -45,6 +48,17 @@
     pub statements: usize,
 }
 
+impl Listen {
+    /// The classes that it names must exist.
+    pub fn check(&self, settings: &Settings) -> Result<(), String> {
+        let unknown = |name: &&String| settings.class(name.as_bytes()).is_none();
+        match [&self.read_class, &self.write_class].into_iter().find(unknown) {
+            Some(name) => Err(format!("class {name} of the extended listener does not exist")),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Messages up to a Sync, a Flush, or a simple query by itself.
 pub struct Batch {
     /// When the last byte was read.
@@ -112,17 +126,23 @@
     settings: Arc<Settings>,
     commits: BTreeMap<u64, Micros>,
     order: VecDeque<u64>,
+    /// Statements that the store has not been told of, and those it has.
+    news: Vec<Change>,
+    noted: HashSet<Arc<Prepared>>,
 }
 
 impl Postgres {
     /// A front with these defaults, whose classes must exist.
     pub fn new(listen: Listen, settings: Arc<Settings>) -> Result<Self, String> {
-        for name in [&listen.read_class, &listen.write_class] {
-            if settings.class(name.as_bytes()).is_none() {
-                return Err(format!("class {name} does not exist"));
-            }
-        }
-        Ok(Postgres { listen, settings, commits: BTreeMap::new(), order: VecDeque::new() })
+        listen.check(&settings)?;
+        Ok(Postgres {
+            listen,
+            settings,
+            commits: BTreeMap::new(),
+            order: VecDeque::new(),
+            news: Vec::new(),
+            noted: HashSet::new(),
+        })
     }
 
     /// Reads a statement. Anything that lives longer than a unit, or is more than one statement, is refused:
@@ -265,6 +285,7 @@
                     return no(LIMIT, "too many prepared statements");
                 }
                 let known = self.know(sql, types)?;
+                self.note(&known.prepared);
                 parts.push(Part::Parse(known.prepared.clone()));
                 used.push(known.clone());
                 let before = session.statements.insert(name.to_vec(), known);
@@ -325,6 +346,17 @@
         Ok(())
     }
 
+    fn note(&mut self, prepared: &Arc<Prepared>) {
+        if self.noted.len() >= NOTED {
+            self.noted.clear();
+        }
+        if self.noted.insert(prepared.clone())
+            && let Ok(sql) = String::from_utf8(prepared.sql.clone())
+        {
+            self.news.push(Change::Prepared(Statement { sql, types: prepared.types.clone() }));
+        }
+    }
+
     fn statement(&self, session: &Session, name: &[u8]) -> Result<Known, Refusal> {
         let known = session.statements.get(name).cloned();
         known.ok_or_else(|| {
@@ -434,6 +466,10 @@
         })
     }
 
+    fn notes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.news)
+    }
+
     fn finish(&mut self, session: &mut Session, verdict: Verdict<Answer>) -> Vec<u8> {
         let mut bytes = Vec::new();
         put_verdict(&mut bytes, &verdict);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,8 @@
 mod interface;
 mod net;
 mod pg;
+pub mod store;
+pub mod syslog;
 pub mod wire;
 
 pub use balance::Router;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,10 +2,9 @@
 
 use super::clock::from_unix_ms;
 use super::{Message, Messages};
-use crate::core::Input;
 use crate::pg::statement::hash;
 use crate::{Listed, Member, ServerId};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::io::{Error, ErrorKind, Read, Result, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -18,7 +17,7 @@
 const MAX_LINE: usize = 4 << 20;
 
 /// A list, whole or in part, as discovery and the configuration spell it.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct List {
     /// Its version.
     #[serde(default)]
@@ -32,7 +31,7 @@
 }
 
 /// An entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Target {
     uid: String,
     endpoint: String,
@@ -46,6 +45,21 @@
 }
 
 impl List {
+    /// Takes over news: a whole list replaces this one, changes replace their entries.
+    pub fn merge(&mut self, news: List) {
+        if news.all {
+            *self = news;
+            return;
+        }
+        self.rev = news.rev;
+        for target in news.targets {
+            self.targets.retain(|t| t.uid != target.uid);
+            if target.state != "DELETED" {
+                self.targets.push(target);
+            }
+        }
+    }
+
     /// As the core takes it. Entries whose endpoint is no address are left out.
     pub fn members(&self) -> Vec<(Member, SocketAddr)> {
         let entry = |t: &Target| {
@@ -102,8 +116,7 @@
             if !line.trim_ascii().is_empty() {
                 let list: List = serde_json::from_slice(&line).map_err(Error::other)?;
                 *rev = list.rev;
-                let input = Input::List { full: list.all, members: list.members() };
-                if messages.send(Message::News(input)).is_err() {
+                if messages.send(Message::News(list)).is_err() {
                     return Ok(());
                 }
             }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -186,7 +186,7 @@
 }
 
 /// The other side has closed an idle connection, or said something that nobody asked for.
-fn gone(stream: &TcpStream) -> bool {
+pub fn gone(stream: &TcpStream) -> bool {
     let mut byte = [0];
     if stream.set_nonblocking(true).is_err() {
         return true;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 use crate::front::platform::{Platform, Query};
 use crate::front::postgres::{Batch, Listen, Postgres};
 use crate::front::{Answer, ClientId, Desk, Lobby, Out, Said, Work};
+use crate::store::{Change, Store};
 use crate::{Micros, Settings};
 use clock::Clock;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
@@ -40,7 +41,7 @@
     /// For the core.
     Core(Input<Work, Answer>),
     /// News of the member list.
-    News(Input<Work, Answer>),
+    News(discovery::List),
     /// A new connection, and whether it came in on the extended listener.
     Accepted(TcpStream, bool),
     /// From a reader of the platform's front.
@@ -60,7 +61,7 @@
 }
 
 /// Serves until it is told to end; on the extended listener too, where there is one.
-pub fn serve(config: &Config, extended: Option<Listen>) -> std::io::Result<()> {
+pub fn serve(config: &Config, extended: Option<Listen>, store: Store) -> std::io::Result<()> {
     let listener = TcpListener::bind(config.listen)?;
     let bound = extended.as_ref().map(|e| TcpListener::bind(e.listen)).transpose()?;
     let clock = Clock::start();
@@ -77,6 +78,7 @@
         postgres,
         desk: Desk::default(),
         settings,
+        store,
         messages: messages.clone(),
         links: HashMap::new(),
         clients: HashMap::new(),
@@ -86,6 +88,7 @@
         ready_at: Some(clock.now() + READY_AFTER),
         ending: None,
     };
+    host.store.note(Change::Set("proxy".into(), config.told.clone()));
     let known = Input::List { full: true, members: config.known.members() };
     host.core(clock.now(), known);
     signals(messages.clone())?;
@@ -138,6 +141,7 @@
     postgres: Option<Lobby<Postgres>>,
     desk: Desk,
     settings: Arc<Settings>,
+    store: Store,
     messages: Messages,
     links: HashMap<LinkId, link::Handle>,
     clients: HashMap<ClientId, client::Handle>,
@@ -209,8 +213,10 @@
                 }
                 self.core(now, input);
             }
-            Message::News(input) => {
+            Message::News(list) => {
+                let input = Input::List { full: list.all, members: list.members() };
                 self.core(now, input);
+                self.store.note(Change::Members(list));
                 self.ready(now);
             }
             Message::Accepted(stream, extended) => self.accepted(now, stream, extended),
@@ -285,6 +291,7 @@
                     }
                 }
                 Out::Take(arrival) => self.core(now, Input::Arrived(arrival)),
+                Out::Note(change) => self.store.note(change),
                 Out::Left(request) => self.core(now, Input::Left(request)),
             }
         }
--- /dev/null
+++ b/tests/proxy/daemon.rs
@@ -0,0 +1,91 @@
+//! The daemon's own log and store.
+
+use crate::rig::*;
+use std::io::Read;
+use std::net::{TcpListener, UdpSocket};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// The message without its time, host, process and sequence number.
+fn told(message: &str) -> String {
+    let words: Vec<_> = message.split(' ').collect();
+    assert!(words[1].ends_with('Z') && words[4].parse::<u32>().is_ok(), "{message}");
+    let rest = message.split_once("\"]").unwrap().1;
+    let rest = rest.split_once(" listen=\"127.0.0.1:").map_or(rest.to_string(), |(a, b)| {
+        format!("{a} listen=...{}", b.trim_start_matches(|c: char| c.is_ascii_digit()))
+    });
+    format!("{} {} {}{rest}", words[0], words[3], words[5])
+}
+
+#[test]
+fn a_collector_over_tcp_gets_octet_counted_messages() {
+    let (primary, collector) = (Server::start(true), TcpListener::bind("127.0.0.1:0").unwrap());
+    let file = format!("collector = \"{}\"\nprotocol = \"tcp\"\n", collector.local_addr().unwrap());
+    let mut proxy = Proxy::start_by(&[&primary], "exec \"$0\" serve --syslog \"$2\"", &file);
+    let (mut stream, _) = collector.accept().unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    proxy.signal("-TERM");
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    assert!(proxy.child.wait().unwrap().success());
+    let (mut rest, mut all) = (&bytes[..], Vec::new());
+    while let Some(blank) = rest.iter().position(|b| *b == b' ') {
+        let length: usize = std::str::from_utf8(&rest[..blank]).unwrap().parse().unwrap();
+        let message = &rest[blank + 1..blank + 1 + length];
+        all.push(told(std::str::from_utf8(message).unwrap()));
+        rest = &rest[blank + 1 + length..];
+    }
+    assert!(rest.is_empty());
+    all.retain(|m| !m.contains("store"));
+    insta::assert_snapshot!(all.join("\n"), @r#"
+    <30>1 liftrelay net[liftrelay@32473 name="n0" listen=..."] serving
+    <30>1 liftrelay net told to end
+    <30>1 liftrelay net ended
+    "#);
+}
+
+#[test]
+fn a_collector_over_udp_gets_a_message_a_datagram_and_one_that_is_away_harms_nothing() {
+    let (primary, collector) = (Server::start(true), UdpSocket::bind("127.0.0.1:0").unwrap());
+    collector.set_read_timeout(Some(LONG)).unwrap();
+    let address = collector.local_addr().unwrap();
+    let file = format!("collector = \"{address}\"\nprotocol = \"udp\"\nfacility = 16\n");
+    let proxy = Proxy::start_by(&[&primary], "exec \"$0\" serve --syslog \"$2\"", &file);
+    let mut datagram = [0; 4096];
+    let length = collector.recv(&mut datagram).unwrap();
+    assert!(told(std::str::from_utf8(&datagram[..length]).unwrap()).starts_with("<134>1 liftrelay "));
+    drop((proxy, collector));
+    let away = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let away = format!("collector = \"{away}\"\nprotocol = \"tcp\"\n");
+    let proxy = Proxy::start_by(&[&primary], "exec \"$0\" serve --syslog \"$2\"", &away);
+    assert_eq!(proxy.client().query(&read(1)), "T D(value) C Z");
+}
+
+#[test]
+fn the_store_holds_the_settings_the_list_and_the_prepared_statements() {
+    let primary = Server::start(true);
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let file = format!("id = 7\n[[replica]]\nid = 7\naddress = \"{free}\"\n");
+    let proxy = Proxy::start_by(&[&primary], "exec \"$0\" serve --postgres \"$1\" --store \"$2\"", &file);
+    let mut client = proxy.extended();
+    client.send(&messages("P r SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */ | S"));
+    assert_eq!(client.answer(), "1 Z");
+    let path = proxy.file();
+    let begun = Instant::now();
+    loop {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_liftrelay"));
+        let out = command.args(["store", "--file"]).arg(&path).arg("status").output().unwrap();
+        let said: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
+        let state = &said["state"];
+        let listed = state["members"]["targets"][0]["uid"] == "s-0";
+        let told = state["settings"]["proxy"]["request_classes"][0]["name"] == "own";
+        let prepared =
+            state["statements"][0]["sql"].as_str().is_some_and(|s| s.starts_with("SELECT payload"));
+        if listed && told && prepared {
+            break;
+        }
+        assert!(begun.elapsed() < LONG, "{said}");
+    }
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs)]
 
+mod daemon;
 mod extended;
 mod platform;
 mod rig;
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -171,7 +171,7 @@
 #[test]
 fn few_descriptors_are_survived() {
     let primary = Server::start(true);
-    let proxy = Proxy::start_by(&[&primary], "ulimit -n 24; exec \"$0\" serve");
+    let proxy = Proxy::start_by(&[&primary], "ulimit -n 24; exec \"$0\" serve", "");
     let crowd: Vec<_> = (0..40).map(|_| Client::raw(proxy.address)).collect();
     drop(crowd);
     let mut client = proxy.client();
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -306,13 +306,15 @@
 impl Proxy {
     /// Starts the program in front of these members, and waits until it is ready and has heard its primary.
     pub fn start(servers: &[&Server]) -> Proxy {
-        let proxy = Proxy::start_by(servers, "exec \"$0\" serve --postgres \"$1\"");
+        let proxy = Proxy::start_by(servers, "exec \"$0\" serve --postgres \"$1\"", "");
         assert_eq!(proxy.client().query(&write(0, 900)), "T D(value) C Z");
         servers.iter().for_each(|s| *s.seen.lock().unwrap() = Seen::default());
         proxy
     }
 
-    pub fn start_by(servers: &[&Server], shell: &str) -> Proxy {
+    /// The same by this shell command: `$0` is the program, `$1` the file of the extended listener, `$2` a file
+    /// with this text.
+    pub fn start_by(servers: &[&Server], shell: &str, file: &str) -> Proxy {
         let targets: Vec<_> = servers.iter().enumerate().map(|(n, s)| target(n, s, "SERVING")).collect();
         let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, targets.join(","));
         let discovery = Discovery::start(list);
@@ -329,9 +331,11 @@
         let text = "listen = '127.0.0.1:0'\nread_class = 'own'\nwrite_class = 'write'\ngroup = 2\n\
             wait_ms = 3000\nsession_parameter = 1\nstatements = 3\n";
         std::fs::write(&postgres, text).unwrap();
+        std::fs::write(folder.join("more.toml"), file).unwrap();
         let mut child = Command::new("/bin/sh")
             .args(["-c", shell, env!("CARGO_BIN_EXE_liftrelay")])
             .arg(&postgres)
+            .arg(folder.join("more.toml"))
             .env("GW_CONFIG", &config)
             .env_remove("GW_LISTEN")
             .env_remove("GW_DISCOVERY")
@@ -344,7 +348,7 @@
         while address.is_none() || (wants_extended && extended.is_none()) {
             let line = lines.next().expect("the program says where it listens");
             let Some((_, at)) = line.split_once("listen=") else { continue };
-            let at = at.trim_matches(|c: char| !c.is_ascii_digit()).parse().unwrap();
+            let at = at.split('"').nth(1).unwrap().parse().unwrap();
             *if line.contains("extended") { &mut extended } else { &mut address } = Some(at);
         }
         std::thread::spawn(move || lines.for_each(drop));
@@ -363,6 +367,11 @@
         Client::open(self.extended.unwrap())
     }
 
+    /// The file that the shell command knew as `$2`.
+    pub fn file(&self) -> std::path::PathBuf {
+        self.folder.join("more.toml")
+    }
+
     pub fn signal(&self, name: &str) {
         assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
     }
