--- a/src/front/postgres.rs
+++ b/src/front/postgres.rs
@@ -23,6 +23,11 @@
 const NO_PORTAL: &str = "34000";
 /// SQLSTATE: more than the listener allows.
 const LIMIT: &str = "54000";
+/// The longest statement that is prepared, and the most bytes of them for one client.
+const LONGEST: usize = 32 * 1024;
+const STATEMENT_BYTES: usize = 128 * 1024;
+/// The longest that the store's catalogue takes.
+const NOTED_BYTES: usize = 8 * 1024;
 /// Statements remembered as noted before they are noted anew.
 const NOTED: usize = 1024;
 /// Sessions whose last commit is remembered, over all clients.
@@ -281,9 +286,13 @@
                 if !name.is_empty() && session.statements.contains_key(name) {
                     return no("42P05", "a statement of that name exists");
                 }
-                if session.statements.len() >= self.listen.statements {
+                let bytes: usize = session.statements.values().map(|k| k.prepared.sql.len()).sum();
+                if session.statements.len() >= self.listen.statements || bytes + sql.len() > STATEMENT_BYTES {
                     return no(LIMIT, "too many prepared statements");
                 }
+                if sql.len() > LONGEST {
+                    return no(LIMIT, "statement too long to prepare");
+                }
                 let known = self.know(sql, types)?;
                 self.note(&known.prepared);
                 parts.push(Part::Parse(known.prepared.clone()));
@@ -350,7 +359,8 @@
         if self.noted.len() >= NOTED {
             self.noted.clear();
         }
-        if self.noted.insert(prepared.clone())
+        if prepared.sql.len() <= NOTED_BYTES
+            && self.noted.insert(prepared.clone())
             && let Ok(sql) = String::from_utf8(prepared.sql.clone())
         {
             self.news.push(Change::Prepared(Statement { sql, types: prepared.types.clone() }));
@@ -451,7 +461,10 @@
     }
 
     fn start(&mut self, session: &mut Session, batch: Batch, _ready: bool) -> Step<Batch> {
-        if session.skipping && batch.end != b'Q' {
+        if session.skipping && batch.end != b'S' {
+            return Step::Say(Vec::new());
+        }
+        if session.skipping {
             return Step::Say(self.end(session, batch.end, Vec::new()));
         }
         let step = match batch.messages.first() {
@@ -461,7 +474,7 @@
         step.unwrap_or_else(|(code, why)| {
             let mut bytes = Vec::new();
             pg::put_error(&mut bytes, "ERROR", code, &why, None);
-            session.skipping = true;
+            session.skipping = batch.end == b'H';
             Step::Say(self.end(session, batch.end, bytes))
         })
     }
@@ -476,7 +489,7 @@
         let Some(open) = session.open.take() else { return bytes };
         let (parses, error) = tally(&bytes);
         undo(session, open.parsed, if error { parses } else { usize::MAX });
-        session.skipping |= error;
+        session.skipping |= error && open.end == b'H';
         if let Verdict::Served(Answer { commit: Some(commit), .. }) = verdict
             && !error
             && open.key != 0
--- a/src/front/unit.rs
+++ b/src/front/unit.rs
@@ -65,17 +65,16 @@
 }
 
 /// The statements that one member connection has prepared, under names of its own.
+#[derive(Default)]
 pub struct Catalogue {
     names: HashMap<Arc<Prepared>, (u64, u64)>,
     last: u64,
-    most: usize,
+    bytes: usize,
 }
 
-impl Default for Catalogue {
-    fn default() -> Self {
-        Catalogue { names: HashMap::new(), last: 0, most: 128 }
-    }
-}
+/// Statements and their bytes that one member connection keeps; the one used longest ago goes first.
+const MOST: usize = 128;
+const MOST_BYTES: usize = 128 * 1024;
 
 impl Catalogue {
     /// The statement's name, with the messages that prepare it where it is missing.
@@ -91,14 +90,14 @@
             }
             return format!("liftrelay_{name}");
         }
-        if self.names.len() >= self.most
+        while (self.names.len() >= MOST || self.bytes + statement.sql.len() > MOST_BYTES)
             && let Some((oldest, name)) = self
                 .names
                 .iter()
                 .min_by_key(|(_, v)| v.1)
                 .map(|(s, v)| (s.clone(), format!("liftrelay_{}", v.0)))
         {
-            self.names.remove(&oldest);
+            self.forget(&oldest);
             script.put(b'C', &[b"S", name.as_bytes(), &[0]]);
             script.expects.push_back(Expect::Hidden(b'3'));
         }
@@ -106,17 +105,21 @@
         script.put(b'P', &[name.as_bytes(), &[0], &statement.sql, &[0], &statement.types]);
         script.expects.push_back(Expect::Parse(statement.clone(), visible));
         self.names.insert(statement.clone(), (now, now));
+        self.bytes += statement.sql.len();
         name
     }
 
     /// The member does not have these after all.
     fn forget(&mut self, statement: &Arc<Prepared>) {
-        self.names.remove(statement);
+        if self.names.remove(statement).is_some() {
+            self.bytes -= statement.sql.len();
+        }
     }
 
     /// The member has none of them.
     pub fn clear(&mut self) {
         self.names.clear();
+        self.bytes = 0;
     }
 }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -12,18 +12,32 @@
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// Commands that one client may have unanswered before its reader waits.
+/// Commands that one client may have unanswered before its reader waits; a long one counts as several.
 const AHEAD: usize = 16;
-/// Answers that may wait for one client's socket; with more the client does not read.
-const UNWRITTEN: usize = 64;
+/// What counts as one command.
+const SHARE: usize = 16 * 1024;
+/// Answers that may wait for one client's socket, and bytes that may wait for all; with more, a client that
+/// does not read is cut off.
+const UNWRITTEN: usize = 32;
+const UNWRITTEN_BYTES: usize = 32 << 20;
 /// A client that takes nothing for this long is cut off.
 const STUCK: Duration = Duration::from_secs(10);
 
 /// Messages and bytes that may come before a Sync.
 const UNIT_MESSAGES: usize = 1024;
-const UNIT_BYTES: usize = 1 << 20;
+const UNIT_BYTES: usize = 256 * 1024;
+
+/// What all writing threads share. Once the last has ended, the receiver at the other end of `alive` is told.
+#[derive(Clone)]
+pub struct Writers {
+    /// Bytes that wait for sockets.
+    pub unwritten: Arc<AtomicUsize>,
+    /// Held, never used.
+    pub alive: Sender<()>,
+}
 
 /// How a listener's clients talk.
 #[derive(Clone)]
@@ -37,7 +51,9 @@
 /// The reducer's end of a client's connection.
 pub struct Handle {
     answers: Sender<Vec<u8>>,
-    credits: Receiver<()>,
+    credits: Receiver<usize>,
+    /// Bytes that wait for sockets, of all clients.
+    unwritten: Arc<AtomicUsize>,
     stream: Arc<TcpStream>,
     /// It came in on the extended listener.
     pub extended: bool,
@@ -51,20 +67,27 @@
         dialect: Dialect,
         clock: Clock,
         messages: Messages,
+        writers: Writers,
     ) -> Option<Handle> {
         let extended = matches!(dialect, Dialect::Postgres);
         let _ = stream.set_nodelay(true);
         let _ = stream.set_write_timeout(Some(STUCK));
         let stream = Arc::new(stream);
-        let (answers, unwritten) = bounded::<Vec<u8>>(UNWRITTEN);
+        let (answers, queue) = bounded::<Vec<u8>>(UNWRITTEN);
+        let unwritten = writers.unwritten.clone();
         let (spend, credits) = bounded(AHEAD);
         let writes = stream.clone();
         spawn("client-write", move || {
-            while let Ok(bytes) = unwritten.recv() {
-                if (&*writes).write_all(&bytes).is_err() {
+            while let Ok(bytes) = queue.recv() {
+                let written = (&*writes).write_all(&bytes);
+                writers.unwritten.fetch_sub(bytes.len(), Ordering::Relaxed);
+                if written.is_err() {
                     break;
                 }
             }
+            while let Ok(bytes) = queue.try_recv() {
+                writers.unwritten.fetch_sub(bytes.len(), Ordering::Relaxed);
+            }
             // Ends the reader too.
             let _ = writes.shutdown(Shutdown::Both);
         })
@@ -88,17 +111,27 @@
             }
         })
         .ok()?;
-        Some(Handle { answers, credits, stream, extended })
+        Some(Handle { answers, credits, unwritten, stream, extended })
     }
 
     /// Hands bytes to the writer; `false` if the client does not read.
     pub fn write(&self, bytes: Vec<u8>) -> bool {
-        self.answers.try_send(bytes).is_ok()
+        let length = bytes.len();
+        let before = self.unwritten.fetch_add(length, Ordering::Relaxed);
+        let queued = before + length <= UNWRITTEN_BYTES && self.answers.try_send(bytes).is_ok();
+        if !queued {
+            self.unwritten.fetch_sub(length, Ordering::Relaxed);
+        }
+        queued
     }
 
     /// Lets the client send one more command.
     pub fn credit(&self) {
-        let _ = self.credits.try_recv();
+        // A command's first token says how many it took.
+        let took = self.credits.try_recv().unwrap_or(0);
+        for _ in 1..took {
+            let _ = self.credits.try_recv();
+        }
     }
 
     /// Cuts the connection at once, whatever is unwritten.
@@ -111,7 +144,7 @@
     id: ClientId,
     clock: Clock,
     messages: Messages,
-    spend: Sender<()>,
+    spend: Sender<usize>,
     frames: Frames,
 }
 
@@ -124,8 +157,10 @@
     }
 
     /// Says a command once the client may have another one unanswered.
-    fn command<C>(&self, wrap: Wrap<C>, command: C) -> bool {
-        self.spend.send(()).is_ok() && self.say(wrap, Said::Command(command))
+    fn command<C>(&self, wrap: Wrap<C>, command: C, size: usize) -> bool {
+        let tokens = (1 + size / SHARE).min(AHEAD);
+        let spent = (0..tokens).all(|n| self.spend.send(if n == 0 { tokens } else { 0 }).is_ok());
+        spent && self.say(wrap, Said::Command(command))
     }
 
     /// Reads up to the startup message; returns how the connection ended if it did.
@@ -161,7 +196,8 @@
                         return Err(Malformed("bytes behind the query's end"));
                     }
                     let query = Query { at, text: text.to_vec(), fields: Asked::read(text, settings) };
-                    if !self.command(Message::Client, query) {
+                    let size = query.text.len();
+                    if !self.command(Message::Client, query, size) {
                         return Ok(Said::Gone);
                     }
                 }
@@ -188,15 +224,16 @@
                         if !messages.is_empty() {
                             return Err(Malformed("a query amid extended messages"));
                         }
+                        size = message.len();
                         messages.push(message.to_vec());
                     } else if message.len() != 5 {
                         return Err(Malformed("bytes where none belong"));
                     }
                     let batch = Batch { at, messages: std::mem::take(&mut messages), end };
-                    size = 0;
-                    if !self.command(Message::Extended, batch) {
+                    if !self.command(Message::Extended, batch, size) {
                         return Ok(Said::Gone);
                     }
+                    size = 0;
                 }
                 Some((b'P' | b'B' | b'E' | b'D' | b'C', message)) => {
                     size += message.len();
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -23,6 +23,9 @@
 /// A member that has not taken a Parse or a Bind by then is not waited for: nothing has run.
 const PREFACE_WAIT: Duration = Duration::from_millis(1000);
 
+/// ENFILE and EMFILE.
+const OUT_OF_FILES: [Option<i32>; 2] = [Some(23), Some(24)];
+
 /// The user and database that members are greeted with.
 const USER: &str = "web";
 const DATABASE: &str = "orders";
@@ -154,7 +157,10 @@
     fn connect(&self) -> Result<(Arc<TcpStream>, Frames), Outcome> {
         let end = Instant::now() + self.dial;
         let failed = Outcome::ConnectFailed;
-        let stream = TcpStream::connect_timeout(&self.address, self.dial).map_err(|_| failed)?;
+        // Guards against taking the proxy's own want of descriptors for the member's fault.
+        let cause =
+            |e: std::io::Error| if OUT_OF_FILES.contains(&e.raw_os_error()) { Outcome::Moot } else { failed };
+        let stream = TcpStream::connect_timeout(&self.address, self.dial).map_err(cause)?;
         let _ = stream.set_nodelay(true);
         (&stream).write_all(&pg::startup(USER, DATABASE)).map_err(|_| failed)?;
         let mut frames = Frames::default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -35,6 +35,8 @@
 const SERVE_FOR: Micros = 900_000;
 /// How often the loop looks whether all is done after SIGTERM.
 const LOOK: Micros = 20_000;
+/// How long the program waits at its end for answers that a client is slow to take.
+const LAST_WRITES: Duration = Duration::from_secs(1);
 
 /// What reaches the loop.
 pub enum Message {
@@ -71,6 +73,7 @@
     let postgres = extended.map(|listen| Postgres::new(listen, settings.clone()).map(Lobby::new));
     let postgres = postgres.transpose().map_err(std::io::Error::other)?;
     let core = Core::new(config.settings.clone(), config.seed, clock.now(), budget / 2);
+    let (alive, written) = bounded(0);
     let mut host = Host {
         clock,
         core,
@@ -80,6 +83,8 @@
         settings,
         store,
         messages: messages.clone(),
+        writers: client::Writers { unwritten: Arc::default(), alive },
+        written,
         links: HashMap::new(),
         clients: HashMap::new(),
         last_client: 0,
@@ -106,6 +111,14 @@
     Ok(())
 }
 
+/// Tells a client that there is no room: nothing has run. It is not waited for.
+fn turn_away(mut stream: TcpStream) {
+    let mut bytes = Vec::new();
+    crate::pg::put_error(&mut bytes, "FATAL", crate::pg::TOO_MANY, "too many clients", None);
+    let _ = stream.set_nonblocking(true);
+    let _ = std::io::Write::write(&mut stream, &bytes);
+}
+
 fn signals(messages: Messages) -> std::io::Result<()> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
@@ -143,6 +156,8 @@
     settings: Arc<Settings>,
     store: Store,
     messages: Messages,
+    writers: client::Writers,
+    written: Receiver<()>,
     links: HashMap<LinkId, link::Handle>,
     clients: HashMap<ClientId, client::Handle>,
     last_client: ClientId,
@@ -184,7 +199,8 @@
                 self.ready(now);
             }
             if let Some((since, closing)) = self.ending {
-                if !closing && now >= since + CLOSE_AFTER {
+                // A connection that came late and says nothing is closed at the end, too.
+                if (!closing && now >= since + CLOSE_AFTER) || now >= since + SERVE_FOR {
                     self.ending = Some((since, true));
                     let mut outs = self.platform.close();
                     outs.extend(self.postgres.iter_mut().flat_map(Lobby::close));
@@ -202,7 +218,9 @@
     /// Lets the writers finish: a client's thread drops its stream once all is written.
     fn linger(&mut self) {
         self.clients.clear();
-        std::thread::sleep(Duration::from_millis(50));
+        self.writers.alive = bounded(0).0;
+        // Ends at once when the last writer has gone: nothing is ever sent here.
+        let _ = self.written.recv_timeout(LAST_WRITES);
     }
 
     fn take(&mut self, now: Micros, message: Message) {
@@ -249,6 +267,7 @@
             let idle = self.platform.evict().or_else(|| self.postgres.as_mut()?.evict());
             let Some(out) = idle else {
                 tracing::warn!("no room for another client");
+                turn_away(stream);
                 return;
             };
             self.carry_out(now, vec![out]);
@@ -260,8 +279,8 @@
         } else {
             client::Dialect::Platform(self.settings.clone())
         };
-        let Some(handle) = client::Handle::open(id, stream, dialect, self.clock, self.messages.clone())
-        else {
+        let (messages, writers) = (self.messages.clone(), self.writers.clone());
+        let Some(handle) = client::Handle::open(id, stream, dialect, self.clock, messages, writers) else {
             tracing::warn!("no thread for another client");
             return;
         };
@@ -310,8 +329,9 @@
                 }
                 Effect::Carry { link, job, what } => {
                     let carried = self.links.get_mut(&link).is_some_and(|l| l.carry(job, what));
+                    // Guards against taking the proxy's own want of threads for the member's fault.
                     if !carried {
-                        let ending = crate::core::Ending::plain(crate::Outcome::ConnectFailed);
+                        let ending = crate::core::Ending::plain(crate::Outcome::Moot);
                         self.links.remove(&link);
                         self.core(now, Input::Ended { link, job, ending, open: false });
                         self.core(now, Input::Closed(link));
--- a/tests/proxy/extended.rs
+++ b/tests/proxy/extended.rs
@@ -105,6 +105,9 @@
     let (primary, _replica, proxy) = pair();
     let mut client = proxy.extended();
     assert_snapshot!(ask(&mut client, "B - none | E - | S"), @"E(26000) Z");
+    client.send(&messages("B - none | H | B - none | E - | H"));
+    client.send(&[simple(&write(1, 900)), messages("S")].concat());
+    assert_snapshot!(client.answer(), @"E(26000) Z");
     assert_snapshot!(ask(&mut client, "E none | S"), @"E(34000) Z");
     assert_snapshot!(ask(&mut client, "P b BEGIN | B - b | E - | S"), @"E(0A000) Z");
     assert_snapshot!(ask(&mut client, "P c COPY t FROM STDIN | S"), @"E(0A000) Z");
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -164,6 +164,8 @@
     assert_eq!(late.query(&read(2)), "T D(value) C Z", "a late connection is still served");
     assert!(asked.elapsed() < Duration::from_millis(900));
     assert_eq!(late.answer(), "end");
+    // Guards against a connection that comes late, says nothing, and would keep the program from ending.
+    let _silent = Client::raw(proxy.address);
     assert!(proxy.child.wait().unwrap().success());
     assert!(asked.elapsed() > Duration::from_millis(700));
 }
