Start from the store's member list where discovery is down; check files before serving

Found by reading: what the store had saved was read back but used for nothing. Now a list newer than the one in the configuration is taken over at the start, unless discovery has spoken. On the platform the store is empty at each start, so nothing changes there. A wrong id in the store's file, or an impossible facility, now ends the program with 2 before anything listens. Checked: the daemon is killed and started again while discovery is down, and serves.

--- a/src/main.rs
+++ b/src/main.rs
@@ -115,8 +115,11 @@
     if let Some(postgres) = &postgres {
         postgres.check(&config.settings)?;
     }
-    let replicas = store.map_or_else(|| Ok(Replicas::alone()), from_toml)?;
-    Ok(Files { config, postgres, replicas, collector: syslog.map(from_toml).transpose()? })
+    let replicas = store.map_or_else(|| Ok(Replicas::alone()), from_toml::<Replicas>)?;
+    replicas.check()?;
+    let collector: Option<Collector> = syslog.map(from_toml).transpose()?;
+    collector.map_or(Ok(()), |c| c.check())?;
+    Ok(Files { config, postgres, replicas, collector })
 }
 
 fn main() -> ExitCode {
@@ -147,8 +150,7 @@
 fn serve(files: Files) -> std::io::Result<()> {
     let Files { config, postgres, replicas, collector } = files;
     let log = syslog::start(collector)?;
-    let store = Store::start(&replicas, config.seed)?;
-    let served = liftrelay::serve(&config, postgres, store);
+    let served = liftrelay::serve(&config, postgres, &replicas);
     log.finish();
     served
 }
@@ -157,7 +159,7 @@
     match action {
         StoreAction::Run(_) => {
             let _log = syslog::start(None)?;
-            let _store = Store::start(replicas, std::process::id().into())?;
+            let _store = Store::start(replicas, std::process::id().into(), drop)?;
             loop {
                 std::thread::park();
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,7 +11,7 @@
 use crate::front::platform::{Platform, Query};
 use crate::front::postgres::{Batch, Listen, Postgres};
 use crate::front::{Answer, ClientId, Desk, Lobby, Out, Said, Work};
-use crate::store::{Change, Store};
+use crate::store::{Change, Replicas, State, Store};
 use crate::{Micros, Settings};
 use clock::Clock;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
@@ -44,6 +44,8 @@
     Core(Input<Work, Answer>),
     /// News of the member list.
     News(discovery::List),
+    /// The member list as the store had it when this proxy last ran.
+    Stored(discovery::List),
     /// A new connection, and whether it came in on the extended listener.
     Accepted(TcpStream, bool),
     /// From a reader of the platform's front.
@@ -63,11 +65,14 @@
 }
 
 /// Serves until it is told to end; on the extended listener too, where there is one.
-pub fn serve(config: &Config, extended: Option<Listen>, store: Store) -> std::io::Result<()> {
+pub fn serve(config: &Config, extended: Option<Listen>, replicas: &Replicas) -> std::io::Result<()> {
     let listener = TcpListener::bind(config.listen)?;
     let bound = extended.as_ref().map(|e| TcpListener::bind(e.listen)).transpose()?;
     let clock = Clock::start();
     let (messages, inbox) = bounded(UNREAD);
+    let stored = messages.clone();
+    let recovered = move |state: State| drop(stored.try_send(Message::Stored(state.members)));
+    let store = Store::start(replicas, config.seed, recovered)?;
     let budget = config.sockets.saturating_sub(SPARE).max(2);
     let settings = Arc::new(config.settings.clone());
     let postgres = extended.map(|listen| Postgres::new(listen, settings.clone()).map(Lobby::new));
@@ -91,6 +96,7 @@
         most_clients: budget - budget / 2,
         seed: config.seed,
         ready_at: Some(clock.now() + READY_AFTER),
+        told: config.known.rev,
         ending: None,
     };
     host.store.note(Change::Set("proxy".into(), config.told.clone()));
@@ -164,6 +170,8 @@
     most_clients: usize,
     seed: u64,
     ready_at: Option<Micros>,
+    /// The version of the list that the proxy goes by; the highest once discovery has spoken.
+    told: u64,
     /// SIGTERM has come: when, and whether connections are being closed.
     ending: Option<(Micros, bool)>,
 }
@@ -233,10 +241,18 @@
             }
             Message::News(list) => {
                 let input = Input::List { full: list.all, members: list.members() };
+                self.told = u64::MAX;
                 self.core(now, input);
                 self.store.note(Change::Members(list));
                 self.ready(now);
             }
+            // What discovery says goes before what the store remembers, and so does a newer list.
+            Message::Stored(list) => {
+                if list.rev > self.told && !list.targets.is_empty() {
+                    self.told = list.rev;
+                    self.core(now, Input::List { full: true, members: list.members() });
+                }
+            }
             Message::Accepted(stream, extended) => self.accepted(now, stream, extended),
             Message::Extended(id, said) => {
                 if let Some(postgres) = &mut self.postgres {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -58,6 +58,16 @@
 }
 
 impl Replicas {
+    /// A list of replicas must hold this one.
+    pub fn check(&self) -> std::result::Result<(), String> {
+        let listed = self.replica.is_empty() || self.replica.iter().any(|r| r.id == self.id);
+        if listed {
+            Ok(())
+        } else {
+            Err(format!("the store's replica {} is not among those listed", self.id))
+        }
+    }
+
     /// One replica that keeps nothing over a restart.
     pub fn alone() -> Self {
         Replicas { id: 1, data: None, replica: Vec::new() }
@@ -163,8 +173,13 @@
 }
 
 impl Store {
-    /// Starts a replica. What it has saved is read before this returns.
-    pub fn start(replicas: &Replicas, seed: u64) -> Result<Store> {
+    /// Starts a replica. `recovered` is called with the state once what it had saved is committed, if it had
+    /// saved anything.
+    pub fn start(
+        replicas: &Replicas,
+        seed: u64,
+        recovered: impl FnOnce(State) + Send + 'static,
+    ) -> Result<Store> {
         let clock = Clock::start();
         let (disk, saved) = match &replicas.data {
             Some(folder) => Disk::open(folder).map(|(disk, saved)| (Some(disk), saved))?,
@@ -174,9 +189,7 @@
             ),
         };
         let ids: Vec<_> = replicas.replica.iter().map(|r| r.id).collect();
-        if !ids.is_empty() && !ids.contains(&replicas.id) {
-            return Err(Error::other("the store's file does not list its own replica"));
-        }
+        replicas.check().map_err(Error::other)?;
         let raft = Raft::new(replicas.id, &ids, saved, seed | 1, clock.now());
         let (words, inbox) = bounded(WAITING);
         let mut peers = HashMap::new();
@@ -190,6 +203,8 @@
                 peers.insert(replica.id, say);
             }
         }
+        let (saved_to, recovered) = (raft.last(), Some(Box::new(recovered) as Box<dyn FnOnce(State) + Send>));
+        let recovered = recovered.filter(|_| saved_to > 0);
         let mut keeper = Keeper {
             id: replicas.id,
             raft,
@@ -198,6 +213,8 @@
             clock,
             proposed: VecDeque::new(),
             waiting: Vec::new(),
+            saved_to,
+            recovered,
         };
         spawn("store", move || {
             if let Err(e) = keeper.run(&inbox) {
@@ -226,6 +243,9 @@
     proposed: VecDeque<Change>,
     /// Puts that wait for the commit of their entry, which must be of this term.
     waiting: Vec<(u64, u64, Sender<Status>)>,
+    /// The last entry that was saved before the start, and who is told when it is committed.
+    saved_to: u64,
+    recovered: Option<Box<dyn FnOnce(State) + Send>>,
 }
 
 impl Keeper {
@@ -302,6 +322,11 @@
                 }
             }
         }
+        if self.raft.standing().2 >= self.saved_to
+            && let Some(tell) = self.recovered.take()
+        {
+            tell(self.raft.state().clone());
+        }
         if led != self.raft.leads() {
             let (term, leader, _) = self.raft.standing();
             tracing::info!(term, ?leader, "the store's lead has changed");
--- a/src/syslog.rs
+++ b/src/syslog.rs
@@ -48,6 +48,17 @@
     pub facility: u8,
 }
 
+impl Collector {
+    /// The facility must be one.
+    pub fn check(&self) -> Result<(), String> {
+        if self.facility <= 23 {
+            Ok(())
+        } else {
+            Err(format!("syslog facility {} is over 23", self.facility))
+        }
+    }
+}
+
 fn daemon() -> u8 {
     DAEMON
 }
@@ -133,10 +144,7 @@
         let mut sinks = vec![Sink::start("log-stderr", |text| {
             let _ = std::io::stderr().write_all(format!("{text}\n").as_bytes());
         })?];
-        if let Some(Collector { collector, protocol, facility }) = collector {
-            if facility > 23 {
-                return Err(std::io::Error::other("facility is over 23"));
-            }
+        if let Some(Collector { collector, protocol, .. }) = collector {
             sinks.push(match protocol {
                 Protocol::Tcp => Sink::start("log-tcp", tcp(collector))?,
                 Protocol::Udp => Sink::start("log-udp", udp(collector)?)?,
--- a/tests/proxy/daemon.rs
+++ b/tests/proxy/daemon.rs
@@ -66,9 +66,14 @@
 #[test]
 fn the_store_holds_the_settings_the_list_and_the_prepared_statements() {
     let primary = Server::start(true);
-    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let file = format!("id = 7\n[[replica]]\nid = 7\naddress = \"{free}\"\n");
-    let proxy = Proxy::start_by(&[&primary], "exec \"$0\" serve --postgres \"$1\" --store \"$2\"", &file);
+    // Nobody else uses this address, so the port stays free until the replica takes it.
+    let pid = std::process::id();
+    let host = format!("127.90.{}.{}:0", pid >> 8 & 255, pid & 255);
+    let free = TcpListener::bind(host).unwrap().local_addr().unwrap();
+    let data = std::env::temp_dir().join(format!("liftrelay-data-{pid}"));
+    let file = format!("id = 7\ndata = {data:?}\n[[replica]]\nid = 7\naddress = \"{free}\"\n");
+    let shell = "exec \"$0\" serve --postgres \"$1\" --store \"$2\"";
+    let proxy = Proxy::start_by(&[&primary], shell, &file);
     let mut client = proxy.extended();
     client.send(&messages("P r SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */ | S"));
     assert_eq!(client.answer(), "1 Z");
@@ -88,4 +93,10 @@
         }
         assert!(begun.elapsed() < LONG, "{said}");
     }
+    // Killed and started again while discovery is down, it still knows its members.
+    drop(proxy);
+    let proxy = Proxy::start_by(&[], shell, &file);
+    assert_eq!(proxy.client().query(&read(1)), "T D(value) C Z");
+    drop(proxy);
+    std::fs::remove_dir_all(data).unwrap();
 }
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -193,4 +193,20 @@
         assert_eq!(out.status.code(), Some(2), "{text}");
         assert!(text.lines().count() == 1 && text.contains(says), "{text}");
     }
+    let proxy = Proxy::start(&[&Server::start(true)]);
+    let good = proxy.file().with_file_name("config.json");
+    for (option, file, says) in [
+        ("--postgres", "listen = 5", "more.toml"),
+        ("--postgres", "", "missing field"),
+        ("--store", "id = 1\n[[replica]]\nid = 2\naddress = '127.0.0.1:1'", "not among those listed"),
+        ("--syslog", "collector = '127.0.0.1:1'\nprotocol = 'tcp'\nfacility = 24", "over 23"),
+    ] {
+        std::fs::write(proxy.file(), file).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_liftrelay"));
+        command.args(["check-config", option]).arg(proxy.file()).env("GW_CONFIG", &good);
+        let out = command.output().unwrap();
+        let text = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(2), "{text}");
+        assert!(text.lines().count() == 1 && text.contains(says), "{text}");
+    }
 }
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -253,7 +253,8 @@
                     line.clear();
                 }
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                let _ = stream.write_all(format!("{head}{}", chunk(&list)).as_bytes());
+                let list = if list.is_empty() { String::new() } else { chunk(&list) };
+                let _ = stream.write_all(format!("{head}{list}").as_bytes());
                 streams.lock().unwrap().push(stream);
                 let _ = tell.send(());
             }
@@ -317,6 +318,8 @@
     pub fn start_by(servers: &[&Server], shell: &str, file: &str) -> Proxy {
         let targets: Vec<_> = servers.iter().enumerate().map(|(n, s)| target(n, s, "SERVING")).collect();
         let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, targets.join(","));
+        // Without members, discovery is down: it takes a watch and says nothing.
+        let list = if servers.is_empty() { String::new() } else { list };
         let discovery = Discovery::start(list);
         static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -21,8 +21,10 @@
         let folder = std::env::temp_dir().join(format!("liftrelay-store-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
-        // The addresses are free until the replicas take them.
-        let free: Vec<_> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        // Nobody else uses this address, so the ports stay free until the replicas take them.
+        let pid = std::process::id();
+        let host = format!("127.{}.{}.{}:0", 100 + name.len(), pid >> 8 & 255, pid & 255);
+        let free: Vec<_> = (0..3).map(|_| TcpListener::bind(&host).unwrap()).collect();
         let replica = |(n, l): (usize, &TcpListener)| {
             format!("[[replica]]\nid = {}\naddress = \"{}\"\n", n + 1, l.local_addr().unwrap())
         };
