--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
-//! liftrelay decides where a client library for a replicated store sends each read and write.
+//! liftrelay is a proxy that routes reads and writes to replicated database groups: a pure decision
+//! module, the reducer around it, and the sockets around that. The simulator's adapter shares the module.
 //!
 //! The [`Router`] does no I/O and reads no clock: the host hands it [`Event`]s with the present time and
 //! carries out the [`Action`]s that it asks for.
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -303,14 +303,13 @@
     /// has taken all that comes ahead of it: until then, nothing can have run.
     fn unit(&mut self, unit: &Unit, catalogue: &mut Catalogue) -> Option<Reply> {
         let mut heard = Heard::default();
-        let mut script = Script::new(unit, catalogue);
         let executes = unit.executes();
-        let ahead = (unit.careful || !executes) && !script.preface.is_empty();
+        let ahead = unit.careful || !executes;
+        // Before the script is made: it takes for prepared what it is about to prepare.
         if !step(self.state, WAITING, if ahead { PREFACE } else { SENDING }) {
-            // What the script would have prepared was never sent.
-            catalogue.clear();
             return None;
         }
+        let mut script = Script::new(unit, catalogue);
         let mut end = Vec::new();
         if ahead {
             let mut preface = std::mem::take(&mut script.preface);
--- a/tests/proxy/extended.rs
+++ b/tests/proxy/extended.rs
@@ -85,6 +85,17 @@
     assert_eq!((one.runs(), two.runs()), (2, 2), "ties in turn");
 }
 
+#[test]
+fn a_box_that_lost_its_statements_gets_them_again() {
+    let (primary, _replica, proxy) = pair();
+    let mut client = proxy.extended();
+    assert_eq!(ask(&mut client, &format!("{WRITE} | S")), "1 Z");
+    primary.plan(&[Does::Error("26000")]);
+    assert_snapshot!(ask(&mut client, "B - w | E - | S"), @"2 D(value) C Z");
+    assert_eq!(primary.runs(), 1);
+    assert!(primary.log().iter().filter(|l| l.starts_with("P ")).count() >= 2);
+}
+
 #[test]
 fn names_of_different_clients_do_not_collide() {
     let (_primary, replica, proxy) = pair();
