Serve only whole answers, drop links with bytes left over, follow SIGHUP

Checked: signals() in net/mod.rs registered SIGTERM and SIGINT only, so HUP had its default effect. Exchange::simple in net/link.rs took any T, C or D for part of an answer and a CommandComplete alone for success, passed on rows whose lengths did not fit, and gave the link back with bytes still in Frames; a small stand-in member showed each of these. Ruled out: the front (it passes on what the link hands over) and the pool's choice of links.

Now: a link counts an answer only as RowDescription of one column, one DataRow, CommandComplete, ReadyForQuery, each well formed to its last byte; lengths that no member can mean are refused at their head; all else is an attempt that may have run and ends the link, as do bytes behind ReadyForQuery. A report that can't be read tells nothing, and a position ahead of the clock is dropped in the core. An error of the statement's own is its answer: it neither blames the member nor is asked of another. SIGHUP reads the file again; its discovery is followed, from the whole list of the new address, and news of an ended watch is dropped.

--- a/src/config.rs
+++ b/src/config.rs
@@ -55,17 +55,19 @@
 impl Config {
     /// Reads the file that `GW_CONFIG` names; the other variables go before what it says.
     pub fn from_env() -> Result<Config, String> {
+        let mut config = Config::from_file()?;
+        address("GW_DISCOVERY", &mut config.discovery)?;
+        Ok(config)
+    }
+
+    /// The same when the file has been replaced: where discovery is now, only the file can say.
+    pub fn from_file() -> Result<Config, String> {
         let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
         let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
         let mut config: Config = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
         let whole: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
         config.told = whole["settings"].clone();
-        let address = |name: &str, value: &mut SocketAddr| match std::env::var(name) {
-            Ok(text) => text.parse().map(|a| *value = a).map_err(|_| format!("{name} is no address: {text}")),
-            Err(_) => Ok(()),
-        };
         address("GW_LISTEN", &mut config.listen)?;
-        address("GW_DISCOVERY", &mut config.discovery)?;
         if let Ok(name) = std::env::var("GW_NAME") {
             config.name = name;
         }
@@ -74,6 +76,13 @@
     }
 }
 
+fn address(name: &str, value: &mut SocketAddr) -> Result<(), String> {
+    match std::env::var(name) {
+        Ok(text) => text.parse().map(|a| *value = a).map_err(|_| format!("{name} is no address: {text}")),
+        Err(_) => Ok(()),
+    }
+}
+
 /// Reads a TOML file under `deploy/`.
 pub fn from_toml<T: serde::de::DeserializeOwned>(path: &std::path::Path) -> Result<T, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,6 +24,8 @@
 const MARGIN: Micros = 5_000;
 /// The guard behind the module's own deadlines comes this much later.
 const GUARD: Micros = 3_000;
+/// Positions may be this far ahead: commits are rounded up, and clocks are read at different moments.
+const AHEAD: Micros = 250_000;
 /// A probe that has told nothing by then has failed.
 const PROBE_WAIT: Micros = 250_000;
 /// Between two looks for idle links that are old.
@@ -437,7 +439,10 @@
 
     fn settle(&mut self, now: Micros, job: JobId, ending: Ending<A>) {
         let Some(Running { server, sent, purpose, .. }) = self.jobs.remove(&job) else { return };
-        let Ending { outcome, note, report, answer } = ending;
+        let Ending { outcome, mut note, mut report, answer } = ending;
+        // Guards against a position that no member can have yet: it would pass for fresh for ever.
+        let known = |position: &Micros| *position <= now + AHEAD;
+        (note.position, report.position) = (note.position.filter(known), report.position.filter(known));
         let Purpose::Attempt { request, attempt } = purpose else {
             let answered = outcome == Outcome::Ok;
             return self.tell(now, Event::Probed { server, answered, report });
@@ -445,7 +450,8 @@
         if let Some(held) = self.requests.get_mut(&request) {
             use Outcome::{ConnectFailed, Full, Miss, Moot};
             held.ran |= !matches!(outcome, ConnectFailed | Full | Miss | Moot);
-            if outcome == Outcome::Ok
+            // An answer that tells nothing of the member is the statement's own error.
+            if matches!(outcome, Outcome::Ok | Moot)
                 && let Some(answer) = answer
             {
                 self.requests.remove(&request);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,12 +1,14 @@
 //! The watch on the member list: it starts from what was known, and reconnects for as long as the proxy runs.
 
 use super::clock::from_unix_ms;
-use super::{Message, Messages};
+use super::{Message, Messages, spawn};
 use crate::pg::statement::hash;
 use crate::{Listed, Member, ServerId};
 use serde::{Deserialize, Serialize};
 use std::io::{Error, ErrorKind, Read, Result, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// An empty line comes every 2 s: a watch silent for longer has ended without a sign.
@@ -89,44 +91,109 @@
     ServerId(hash(uid.as_bytes()) & 0xffff_ffff_ffff)
 }
 
-/// Watches for ever.
-pub fn watch(address: SocketAddr, mut rev: u64, messages: &Messages) {
-    loop {
-        if let Err(e) = watch_once(address, &mut rev, messages) {
-            tracing::warn!(error = %e, "the watch on the member list ended");
+/// The number of a watch: the loop takes news of the newest only.
+pub type WatchId = u64;
+
+/// The loop's end of a watch.
+pub struct Watch {
+    /// Its number.
+    pub id: WatchId,
+    /// Where it leads.
+    pub address: SocketAddr,
+    /// The present connection; `None` once the watch is ended.
+    stream: Arc<Mutex<Option<TcpStream>>>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Watch {
+    /// Starts one behind this version, or, without one, from the whole list: versions of another discovery
+    /// tell nothing.
+    pub fn start(id: WatchId, address: SocketAddr, rev: Option<u64>, messages: Messages) -> Result<Watch> {
+        let (stream, ended): (Arc<Mutex<Option<TcpStream>>>, Arc<AtomicBool>) = Default::default();
+        let mut watcher =
+            Watcher { id, address, rev, messages, stream: stream.clone(), ended: ended.clone() };
+        spawn("discovery", move || {
+            while !watcher.ended.load(Ordering::SeqCst) {
+                if let Err(e) = watcher.once()
+                    && !watcher.ended.load(Ordering::SeqCst)
+                {
+                    tracing::warn!(error = %e, "the watch on the member list ended");
+                }
+                std::thread::sleep(AGAIN);
+            }
+        })?;
+        Ok(Watch { id, address, stream, ended })
+    }
+}
+
+impl Drop for Watch {
+    /// Ends it, whatever it waits for.
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let slot = self.stream.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(stream) = slot.as_ref() {
+            let _ = stream.shutdown(Shutdown::Both);
         }
-        std::thread::sleep(AGAIN);
     }
 }
 
-fn watch_once(address: SocketAddr, rev: &mut u64, messages: &Messages) -> Result<()> {
-    let stream = TcpStream::connect_timeout(&address, DIAL)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(SILENCE))?;
-    let ask = format!("GET /api/targets?stream=1&index={rev} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-    (&stream).write_all(ask.as_bytes())?;
-    let mut body = Body::open(&stream)?;
-    let mut line = Vec::new();
-    while let Some(part) = body.next()? {
-        for byte in part {
-            if byte != b'\n' {
-                line.push(byte);
-                continue;
-            }
-            if !line.trim_ascii().is_empty() {
-                let list: List = serde_json::from_slice(&line).map_err(Error::other)?;
-                *rev = list.rev;
-                if messages.send(Message::News(list)).is_err() {
+struct Watcher {
+    id: WatchId,
+    address: SocketAddr,
+    /// What it has been told; `None` before the first whole list.
+    rev: Option<u64>,
+    messages: Messages,
+    stream: Arc<Mutex<Option<TcpStream>>>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Watcher {
+    fn once(&mut self) -> Result<()> {
+        if self.rev.is_none() {
+            self.ask("/api/targets", false)?;
+        }
+        let rev = self.rev.unwrap_or(0);
+        self.ask(&format!("/api/targets?stream=1&index={rev}"), true)
+    }
+
+    /// Asks, and hands on the answer: line by line, or as one.
+    fn ask(&mut self, path: &str, lines: bool) -> Result<()> {
+        let stream = TcpStream::connect_timeout(&self.address, DIAL)?;
+        *self.stream.lock().unwrap_or_else(|e| e.into_inner()) = Some(stream.try_clone()?);
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(SILENCE))?;
+        stream.set_write_timeout(Some(SILENCE))?;
+        let ask = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+        (&stream).write_all(ask.as_bytes())?;
+        let mut body = Body::open(&stream)?;
+        let mut line = Vec::new();
+        while let Some(part) = body.next()? {
+            for byte in part {
+                if byte != b'\n' || !lines {
+                    line.push(byte);
+                } else if !self.news(&std::mem::take(&mut line))? {
                     return Ok(());
                 }
             }
-            line.clear();
+            if line.len() > MAX_LINE {
+                return Err(Error::new(ErrorKind::InvalidData, "line too long"));
+            }
         }
-        if line.len() > MAX_LINE {
-            return Err(Error::new(ErrorKind::InvalidData, "line too long"));
+        self.news(&line).map(drop)
+    }
+
+    /// `false` if nobody wants them any more.
+    fn news(&mut self, line: &[u8]) -> Result<bool> {
+        if self.ended.load(Ordering::SeqCst) {
+            return Ok(false);
+        }
+        if line.trim_ascii().is_empty() {
+            return Ok(true);
         }
+        let list: List = serde_json::from_slice(line).map_err(Error::other)?;
+        self.rev = Some(list.rev);
+        Ok(self.messages.send(Message::News(self.id, list)).is_ok())
     }
-    Ok(())
 }
 
 /// The body of an HTTP answer, in chunks or to the end of the stream.
@@ -134,13 +201,15 @@
     stream: &'a TcpStream,
     buffer: Vec<u8>,
     chunked: bool,
-    /// Bytes left of the present chunk.
+    /// Bytes left of the present chunk, or of a body of stated length.
     left: usize,
+    /// Its length is stated.
+    sized: bool,
 }
 
 impl<'a> Body<'a> {
     fn open(stream: &'a TcpStream) -> Result<Self> {
-        let mut body = Body { stream, buffer: Vec::new(), chunked: false, left: 0 };
+        let mut body = Body { stream, buffer: Vec::new(), chunked: false, left: 0, sized: false };
         loop {
             if !body.fill()? {
                 return Err(ErrorKind::UnexpectedEof.into());
@@ -157,6 +226,12 @@
                         && h.value.to_ascii_lowercase().ends_with(b"chunked")
                 };
                 body.chunked = answer.headers.iter().any(chunked);
+                let length = answer.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"));
+                if let Some(length) = length.filter(|_| !body.chunked) {
+                    let length = std::str::from_utf8(length.value).ok().and_then(|l| l.trim().parse().ok());
+                    body.left = length.ok_or(Error::new(ErrorKind::InvalidData, "bad length"))?;
+                    body.sized = true;
+                }
                 body.buffer.drain(..head);
                 return Ok(body);
             }
@@ -178,7 +253,11 @@
     fn next(&mut self) -> Result<Option<Vec<u8>>> {
         loop {
             if !self.chunked || self.left > 0 {
-                let n = if self.chunked { self.left.min(self.buffer.len()) } else { self.buffer.len() };
+                if self.sized && self.left == 0 {
+                    return Ok(None);
+                }
+                let limited = self.chunked || self.sized;
+                let n = if limited { self.left.min(self.buffer.len()) } else { self.buffer.len() };
                 if n > 0 {
                     self.left = self.left.saturating_sub(n);
                     return Ok(Some(self.buffer.drain(..n).collect()));
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -165,10 +165,16 @@
         (&stream).write_all(&pg::startup(USER, DATABASE)).map_err(|_| failed)?;
         let mut frames = Frames::default();
         loop {
-            match frames.message().map_err(|_| failed)? {
-                Some((b'Z', _)) => break,
+            match frames.reply().map_err(|_| failed)? {
+                // What stands behind it belongs to nobody.
+                Some((b'Z', _)) => {
+                    if frames.rest().is_empty() {
+                        break;
+                    }
+                    return Err(failed);
+                }
                 Some((b'E', message)) => {
-                    let full = pg::error_field(pg::body(message), b'C') == Some(pg::TOO_MANY.as_bytes());
+                    let full = pg::errors(pg::body(message)) == Some(pg::TOO_MANY.as_bytes());
                     return Err(if full { Outcome::Full } else { failed });
                 }
                 Some(_) => {}
@@ -260,43 +266,64 @@
         Ok(())
     }
 
+    /// The answer to a simple query. Only the whole sequence counts, each message well formed: RowDescription
+    /// of one column, one DataRow, CommandComplete, ReadyForQuery. Guards against spoilt answers: what was
+    /// made for this request can't be told from noise in any other case, and the request may have run.
     fn simple(&mut self, probe: bool) -> Reply {
         let mut answer = Vec::new();
-        let (mut row, mut done, mut error) = (None, false, None);
+        let (mut row, mut at, mut error) = (None, b' ', None);
         let mut heard = Heard::default();
         loop {
-            match self.frames.message() {
-                Err(_) => break,
-                // Guards against a member that talks without end.
-                Ok(None) if answer.len() > 2 * pg::MAX_MESSAGE => break,
+            let (tag, message) = match self.frames.reply() {
+                Ok(Some(reply)) => reply,
                 Ok(None) => match self.frames.fill(self.stream) {
-                    Ok(true) => {}
+                    Ok(true) => continue,
                     _ => break,
                 },
-                Ok(Some((tag, message))) => match tag {
-                    b'T' | b'C' | b'D' => {
-                        answer.extend_from_slice(message);
-                        done |= tag == b'C';
-                        if tag == b'D' && probe {
-                            row = pg::only_column(pg::body(message)).map(<[u8]>::to_vec);
-                        }
-                    }
-                    b'E' => error = Some(outcome_of(pg::error_field(pg::body(message), b'C'))),
-                    b'S' => parameter(pg::body(message), &mut heard),
-                    b'Z' => {
-                        let outcome = error.unwrap_or(if done { Outcome::Ok } else { Outcome::Error });
-                        if let Some(row) = &row {
-                            heard.report = report_of(row);
-                        }
-                        return Reply { ending: heard.ending(outcome, answer), open: true };
+                Err(_) => return Reply::plain(Outcome::Error),
+            };
+            let body = pg::body(message);
+            if tag == b'S' {
+                // A load report that can't be read spoils nothing but itself.
+                parameter(body, &mut heard);
+                continue;
+            }
+            if !pg::well_formed(tag, body) {
+                return Reply::plain(Outcome::Error);
+            }
+            match (tag, at) {
+                (b'N', _) => continue,
+                (b'T', b' ') if body[..2] == [0, 1] => {}
+                (b'D', b'T') if pg::only_column(body).is_some() => {
+                    row = probe.then(|| pg::only_column(body).unwrap_or_default().to_vec());
+                }
+                (b'C', b'D') => {}
+                (b'E', b' ' | b'T') => {
+                    (error, at) = (pg::errors(body).map(<[u8]>::to_vec), b'E');
+                    answer.extend_from_slice(message);
+                    continue;
+                }
+                (b'Z', b'C' | b'E') => {
+                    let outcome = match error.as_deref() {
+                        Some(code) if is_the_statements(code) => Outcome::Moot,
+                        Some(code) => outcome_of(Some(code)),
+                        None => Outcome::Ok,
+                    };
+                    if let Some(row) = &row {
+                        heard.report = report_of(row);
                     }
-                    _ => {}
-                },
+                    // Guards against bytes behind an answer: they would pass for the next request's.
+                    let open = self.frames.rest().is_empty();
+                    return Reply { ending: heard.ending(outcome, answer), open };
+                }
+                _ => return Reply::plain(Outcome::Error),
             }
+            at = tag;
+            answer.extend_from_slice(message);
         }
-        // The connection is no more. What it said whole before counts.
-        let outcome = error.unwrap_or(if done { Outcome::Ok } else { Outcome::Reset });
-        Reply { ending: heard.ending(outcome, answer), open: false }
+        // The connection is no more. An error that it said whole before stands.
+        let outcome = error.map_or(Outcome::Reset, |code| outcome_of(Some(&code)));
+        Reply { ending: heard.ending(outcome, Vec::new()), open: false }
     }
 
     /// A unit of extended-query messages. Where it must not run twice, Execute is held back until the member
@@ -340,11 +367,13 @@
                     return Some(Reply::plain(Outcome::Full));
                 }
                 Progress::Ready => {
-                    let known = script.error.as_deref().map(|code| outcome_of(Some(code)));
-                    // An error that is the statement's own is its answer: every member would give it.
-                    let own = script.error.as_deref().is_some_and(is_the_statements);
-                    let outcome = known.filter(|_| !own).unwrap_or(Outcome::Ok);
-                    return Some(Reply { ending: heard.ending(outcome, script.answer), open: true });
+                    let outcome = match script.error.as_deref() {
+                        Some(code) if is_the_statements(code) => Outcome::Moot,
+                        Some(code) => outcome_of(Some(code)),
+                        None => Outcome::Ok,
+                    };
+                    let open = self.frames.rest().is_empty();
+                    return Some(Reply { ending: heard.ending(outcome, script.answer), open });
                 }
             }
         }
@@ -369,9 +398,11 @@
         heard: &mut Heard,
     ) -> Option<Progress> {
         loop {
-            if let Some((tag, message)) = self.frames.message().ok()? {
+            if let Some((tag, message)) = self.frames.reply().ok()? {
                 if tag == b'S' {
                     parameter(pg::body(message), heard);
+                } else if !pg::well_formed(tag, pg::body(message)) {
+                    return Some(Progress::Broken);
                 }
                 return Some(script.take(catalogue, tag, message));
             }
@@ -382,11 +413,12 @@
     }
 }
 
-/// An error that tells of the statement, not of the member: syntax, names, data, constraints, rights.
+/// An error that tells of the statement, not of the member: protocol, syntax, names, data, constraints, rights.
+/// Every member would give it, so it is the answer, and counts neither for nor against the member.
 fn is_the_statements(code: &[u8]) -> bool {
     let class = code.get(..2).unwrap_or_default();
     let classes = [b"0A", b"21", b"22", b"23", b"24", b"28", b"34", b"42", b"44", b"P0"];
-    classes.iter().any(|c| *c == class)
+    code == pg::PROTOCOL_VIOLATION.as_bytes() || classes.iter().any(|c| *c == class)
 }
 
 /// The protocol's table, for errors.
@@ -400,6 +432,9 @@
 
 fn parameter(body: &[u8], heard: &mut Heard) {
     let Heard { note, report } = heard;
+    if !pg::well_formed(b'S', body) {
+        return;
+    }
     let Some((name, rest)) = pg::cstr(body) else { return };
     let Some((value, _)) = pg::cstr(rest) else { return };
     match name {
@@ -416,17 +451,24 @@
     }
 }
 
-/// A load report: `x0` is a position, `x1` is 1 from a primary.
+/// A load report: `x0` is a position, `x1` is 1 from a primary. One that can't be read whole tells nothing.
 fn report_of(text: &[u8]) -> Report {
-    let mut report = Report::default();
-    for pair in String::from_utf8_lossy(text).split(',') {
-        let Some((name, value)) = pair.split_once('=') else { continue };
-        let Ok(value) = value.trim().parse::<f64>() else { continue };
-        match name.trim() {
-            "x0" if value > 0.0 => report.position = Some(from_unix_ms(value as Micros)),
-            "x1" => report.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
-            _ => {}
+    let read = || {
+        let mut report = Report::default();
+        for pair in std::str::from_utf8(text).ok()?.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
+            match name.trim() {
+                "x0" if value >= 0.0 => {
+                    report.position = Some(from_unix_ms(value as Micros)).filter(|p| *p > 0);
+                }
+                "x1" if value == 1.0 => report.role = Some(Role::Primary),
+                "x1" if value == 0.0 => report.role = Some(Role::Replica),
+                "x0" | "x1" => return None,
+                _ => {}
+            }
         }
-    }
-    report
+        Some(report)
+    };
+    read().unwrap_or_default()
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 use crate::{Micros, Settings};
 use clock::Clock;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use discovery::{Watch, WatchId};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
@@ -42,8 +43,10 @@
 pub enum Message {
     /// For the core.
     Core(Input<Work, Answer>),
-    /// News of the member list.
-    News(discovery::List),
+    /// News of the member list, from this watch.
+    News(WatchId, discovery::List),
+    /// SIGHUP: the configuration as the file has it now, or why it can't be used.
+    Reload(Box<Result<Config, String>>),
     /// The member list as the store had it when this proxy last ran.
     Stored(discovery::List),
     /// A new connection, and whether it came in on the extended listener.
@@ -97,14 +100,13 @@
         seed: config.seed,
         ready_at: Some(clock.now() + READY_AFTER),
         told: config.known.rev,
+        watch: Watch::start(0, config.discovery, Some(config.known.rev), messages.clone())?,
         ending: None,
     };
     host.store.note(Change::Set("proxy".into(), config.told.clone()));
     let known = Input::List { full: true, members: config.known.members() };
     host.core(clock.now(), known);
     signals(messages.clone())?;
-    let (address, rev, news) = (config.discovery, config.known.rev, messages.clone());
-    spawn("discovery", move || discovery::watch(address, rev, &news))?;
     tracing::info!(name = config.name, listen = %listener.local_addr()?, "serving");
     if let Some(bound) = bound {
         tracing::info!(listen = %bound.local_addr()?, "serving extended queries");
@@ -126,11 +128,14 @@
 }
 
 fn signals(messages: Messages) -> std::io::Result<()> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     spawn("signals", move || {
-        for _ in signals.forever() {
-            let _ = messages.send(Message::Terminate);
+        for signal in signals.forever() {
+            let _ = messages.send(match signal {
+                SIGHUP => Message::Reload(Box::new(Config::from_file())),
+                _ => Message::Terminate,
+            });
         }
     })
 }
@@ -172,6 +177,8 @@
     ready_at: Option<Micros>,
     /// The version of the list that the proxy goes by; the highest once discovery has spoken.
     told: u64,
+    /// The watch on the member list; news of an earlier one are stale.
+    watch: Watch,
     /// SIGTERM has come: when, and whether connections are being closed.
     ending: Option<(Micros, bool)>,
 }
@@ -239,7 +246,10 @@
                 }
                 self.core(now, input);
             }
-            Message::News(list) => {
+            Message::Reload(read) => self.reload(*read),
+            // Guards against news that an ended watch had under way.
+            Message::News(watch, _) if watch != self.watch.id => {}
+            Message::News(_, list) => {
                 let input = Input::List { full: list.all, members: list.members() };
                 self.told = u64::MAX;
                 self.core(now, input);
@@ -271,6 +281,27 @@
         }
     }
 
+    /// Follows `discovery` to where the file says it is now; all else it says holds from the next start.
+    fn reload(&mut self, read: Result<Config, String>) {
+        let address = match read {
+            Ok(config) => config.discovery,
+            Err(e) => {
+                return tracing::error!(error = e, "the new configuration can't be used; the old one holds");
+            }
+        };
+        if address == self.watch.address {
+            return tracing::info!("told to read the configuration again: discovery is where it was");
+        }
+        // The members stay as they were last told until the new address has told its whole list.
+        match Watch::start(self.watch.id + 1, address, None, self.messages.clone()) {
+            Ok(watch) => {
+                tracing::info!(discovery = %address, "following discovery to another address");
+                self.watch = watch;
+            }
+            Err(e) => tracing::error!(error = %e, "no thread for another watch; the old one goes on"),
+        }
+    }
+
     fn ready(&mut self, now: Micros) {
         if self.ready_at.take().is_some() {
             let outs = self.platform.ready(&mut self.desk, now);
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -6,9 +6,12 @@
 pub mod statement;
 
 use std::io::{ErrorKind, Read};
+use std::ops::RangeInclusive;
 
 /// The longest message that is read: a value of 64 KiB as hexadecimal digits, with room around it.
 pub const MAX_MESSAGE: usize = 256 * 1024;
+/// The longest message of a server that is no row: errors, notices, descriptions.
+const MAX_TOLD: usize = 16 * 1024;
 /// What is asked of the socket at once.
 const CHUNK: usize = 16 * 1024;
 
@@ -108,12 +111,41 @@
 
     /// The next whole message: its type, and all its bytes with type and length.
     pub fn message(&mut self) -> Result<Option<(u8, &[u8])>, Malformed> {
+        self.message_of(|_| 4..=MAX_MESSAGE)
+    }
+
+    /// The same from a server. What none can send is refused as soon as its head has come: a member that
+    /// claims 3 GB, or talks noise, is not waited for.
+    pub fn reply(&mut self) -> Result<Option<(u8, &[u8])>, Malformed> {
+        if let Some(&[b'D', _, _, _, _, _, _, a, b, c, d]) = self.rest().get(..11)
+            && i32::from_be_bytes([a, b, c, d]) > self.length(1).map_or(0, |l| l as i32 - 10)
+        {
+            return Err(Malformed("value longer than its row"));
+        }
+        self.message_of(|tag| match tag {
+            b'Z' => 5..=5,
+            b'1' | b'2' | b'3' | b'n' | b's' | b'I' => 4..=4,
+            b'C' => 6..=128,
+            b'D' => 6..=MAX_MESSAGE,
+            b'E' | b'N' | b'S' | b'T' | b't' | b'R' | b'K' | b'v' => 4..=MAX_TOLD,
+            _ => 0..=0,
+        })
+    }
+
+    fn message_of(
+        &mut self,
+        lengths: impl Fn(u8) -> RangeInclusive<usize>,
+    ) -> Result<Option<(u8, &[u8])>, Malformed> {
         let Some(&tag) = self.rest().first() else { return Ok(None) };
+        let lengths = lengths(tag);
+        if *lengths.end() == 0 {
+            return Err(Malformed("message of an unknown type"));
+        }
         let Some(length) = self.length(1) else { return Ok(None) };
-        if length < 4 {
+        if length < *lengths.start() {
             return Err(Malformed("message shorter than its length field"));
         }
-        if length > MAX_MESSAGE {
+        if length > *lengths.end() {
             return Err(Malformed("message too long"));
         }
         if self.rest().len() <= length {
@@ -150,6 +182,58 @@
     None
 }
 
+/// Whether the body of a server's message is what its type wants, to the last byte.
+pub fn well_formed(tag: u8, body: &[u8]) -> bool {
+    match tag {
+        b'Z' => matches!(body, [b'I' | b'T' | b'E']),
+        b'1' | b'2' | b'3' | b'n' | b's' | b'I' => body.is_empty(),
+        b'C' => cstr(body).is_some_and(|(tag, rest)| !tag.is_empty() && readable(tag) && rest.is_empty()),
+        b'E' | b'N' => errors(body).is_some(),
+        b'S' => cstr(body).and_then(|(_, rest)| cstr(rest)).is_some_and(|(_, rest)| rest.is_empty()),
+        b't' => body.split_at_checked(2).is_some_and(|(n, rest)| rest.len() == 4 * count(n)),
+        b'T' => columns(body, |at| {
+            let (name, rest) = cstr(at)?;
+            readable(name).then_some(())?;
+            rest.get(18..)
+        }),
+        b'D' => columns(body, |at| {
+            let (head, rest) = at.split_at_checked(4)?;
+            match i32::from_be_bytes([head[0], head[1], head[2], head[3]]) {
+                -1 => Some(rest),
+                length => rest.get(usize::try_from(length).ok()?..),
+            }
+        }),
+        _ => false,
+    }
+}
+
+fn readable(text: &[u8]) -> bool {
+    text.iter().all(|b| (b' '..=b'~').contains(b))
+}
+
+fn count(head: &[u8]) -> usize {
+    usize::from(u16::from_be_bytes([head[0], head[1]]))
+}
+
+fn columns(body: &[u8], next: impl Fn(&[u8]) -> Option<&[u8]>) -> bool {
+    let Some((head, mut rest)) = body.split_at_checked(2) else { return false };
+    for _ in 0..count(head) {
+        let Some(behind) = next(rest) else { return false };
+        rest = behind;
+    }
+    rest.is_empty()
+}
+
+/// The SQLSTATE of an ErrorResponse or NoticeResponse whose fields are whole.
+pub fn errors(body: &[u8]) -> Option<&[u8]> {
+    let (last, mut fields) = body.split_last()?;
+    while let Some((_, rest)) = fields.split_first().filter(|(kind, _)| **kind != 0) {
+        fields = cstr(rest)?.1;
+    }
+    let code = error_field(body, b'C').filter(|c| c.len() == 5 && c.iter().all(u8::is_ascii_alphanumeric));
+    code.filter(|_| *last == 0 && fields.is_empty())
+}
+
 /// The value of a DataRow of one column.
 pub fn only_column(body: &[u8]) -> Option<&[u8]> {
     let (head, rest) = body.split_at_checked(6)?;
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -104,6 +104,97 @@
     assert_eq!(primary.runs(), 0);
 }
 
+const T: &[u8] = b"T\0\0\0\x1a\0\x01v\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+const D: &[u8] = b"D\0\0\0\x0f\0\x01\0\0\0\x05other";
+const C: &[u8] = b"C\0\0\0\x09DONE\0";
+const Z: &[u8] = b"Z\0\0\0\x05I";
+
+/// Guards against serving what no member made for the request: only the whole sequence counts, and what is
+/// spoilt may have run.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_that_may_have_run() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    let spoilt: [&[&[u8]]; 12] = [
+        &[b"HTTP/1.1 200 OK\r\n\r\n"],
+        &[C, Z],
+        &[T, C, Z],
+        &[D, C, Z],
+        &[T, D, D, C, Z],
+        &[T, D, Z],
+        &[T, D, C, C, Z],
+        &[T, b"D\0\0\0\x0f\0\x01\0\0\0\x09other", C, Z],
+        &[T, b"D\0\0\0\x0f\0\x02\0\0\0\x05other", C, Z],
+        &[T, b"D\xc0\0\0\x0a\0\x01\xc0\0\0\0 it keeps coming"],
+        &[T, D, b"C\0\0\0\x09DO\x07E\0", Z],
+        &[T, D, C, b"Z\0\0\0\x05?"],
+    ];
+    let mut client = proxy.client();
+    for (n, parts) in spoilt.into_iter().enumerate() {
+        let bytes: &'static [u8] = parts.concat().leak();
+        primary.plan(&[Does::Say(bytes)]);
+        let runs = primary.runs() + replica.runs();
+        assert_eq!(client.query(&write(n as u32, 900)), "E(08007) Z", "{n}");
+        assert_eq!(primary.runs() + replica.runs(), runs + 1, "{n}: the write has run once");
+        replica.plan(&[Does::Say(bytes)]);
+        assert_eq!(client.query(&read(n as u32)), "T D(value) C Z", "{n}: another member serves it");
+        assert_eq!(replica.runs() + primary.runs(), runs + 3, "{n}");
+        // Enough good answers that the replica is not set aside.
+        (0..4).for_each(|_| assert_eq!(client.query(&read(99)), "T D(value) C Z"));
+    }
+}
+
+/// Guards against bytes behind an answer, which would pass for the answer of the connection's next request.
+#[test]
+fn what_stands_behind_an_answer_never_reaches_the_next_request() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let mut client = proxy.client();
+    for (n, more) in [&[T, D, C, Z].concat(), &b"noise"[..], Z].into_iter().enumerate() {
+        primary.plan(&[Does::ServeAnd(more.to_vec().leak())]);
+        assert_eq!(client.query(&write(2 * n as u32, 900)), "T D(value) C Z", "{n}");
+        primary.wait("end");
+        assert_eq!(client.query(&write(2 * n as u32 + 1, 900)), "T D(value) C Z", "{n}");
+    }
+    assert_eq!(primary.runs(), 6);
+}
+
+/// Guards against a member being blamed, and others being asked, for what is the statement's own fault.
+#[test]
+fn an_error_of_the_statement_is_its_answer() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    replica.plan(&[Does::Error("42601")]);
+    let mut client = proxy.client();
+    assert_eq!(client.query(&read(1)), "E(42601) Z");
+    assert_eq!(primary.log().len() + replica.log().len(), 1);
+}
+
+/// Guards against SIGHUP ending the program, and against an old discovery that goes on being believed.
+#[test]
+fn sighup_follows_discovery_to_where_the_file_says_it_is() {
+    let (old, new) = (Server::start(true), Server::start(true));
+    let proxy = Proxy::start(&[&old]);
+    let mut client = proxy.client();
+    proxy.reload("{ no configuration");
+    proxy.reload("");
+    assert_eq!(client.query(&write(1, 900)), "T D(value) C Z", "the old one holds");
+    let other = Discovery::start(whole(1, &[target(7, &new, "SERVING")]));
+    proxy.reload(&configuration(&other));
+    other.watched();
+    proxy.discovery.ended();
+    // The whole list came ahead of the watch: the old member is gone.
+    assert_eq!(client.query(&write(2, 900)), "T D(value) C Z");
+    assert_eq!((old.runs(), new.runs()), (1, 1));
+    let old_news = target(7, &new, "DRAINING");
+    proxy.discovery.push(&format!(r#"{{"rev":9,"all":false,"targets":[{old_news}]}}"#));
+    other.push(&format!(r#"{{"rev":2,"all":false,"targets":[{}]}}"#, target(8, &old, "DRAINING")));
+    assert_eq!(client.query(&write(3, 900)), "T D(value) C Z", "stale news is ignored");
+    let mut proxy = proxy;
+    proxy.signal("-TERM");
+    assert!(proxy.child.wait().unwrap().success());
+}
+
 #[test]
 fn nothing_new_goes_to_a_member_that_drains() {
     let (primary, one, two) = (Server::start(true), Server::start(false), Server::start(false));
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -24,6 +24,10 @@
     HalfAnswer,
     /// Answers an error.
     Error(&'static str),
+    /// Says this instead of an answer, and nothing any more.
+    Say(&'static [u8]),
+    /// Answers, and says this right behind it.
+    ServeAnd(&'static [u8]),
     /// Answers, then closes the idle connection.
     ServeAndClose,
 }
@@ -158,6 +162,12 @@
                     while message(&mut stream).is_some() {}
                     return None;
                 }
+                Does::Say(bytes) if tag == b'Q' || tag == b'E' => {
+                    out.extend(bytes);
+                    stream.write_all(&out).ok()?;
+                    while message(&mut stream).is_some() {}
+                    return None;
+                }
                 Does::Reset(at) if at == tag => return None,
                 Does::HalfAnswer if tag == b'Q' || tag == b'E' => {
                     out.extend(b"D\0\0\0\x20half");
@@ -203,6 +213,11 @@
                 (does, failed) = (None, false);
                 bound.clear();
             }
+            if let Does::ServeAnd(bytes) = act
+                && matches!(tag, b'Q' | b'S')
+            {
+                out.extend(bytes);
+            }
             if matches!(tag, b'Q' | b'S' | b'H') {
                 stream.write_all(&std::mem::take(&mut out)).ok()?;
             }
@@ -229,7 +244,7 @@
 
 /// Discovery: every watch gets the whole list, then what is pushed.
 pub struct Discovery {
-    address: SocketAddr,
+    pub address: SocketAddr,
     news: Arc<Mutex<Vec<TcpStream>>>,
     watched: Receiver<()>,
 }
@@ -239,7 +254,7 @@
 }
 
 impl Discovery {
-    fn start(list: String) -> Discovery {
+    pub fn start(list: String) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let news: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
@@ -248,10 +263,16 @@
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
-                let mut line = String::new();
+                let (mut asked, mut line) = (String::new(), String::new());
+                let _ = reader.read_line(&mut asked);
                 while reader.read_line(&mut line).is_ok_and(|n| n > 2) {
                     line.clear();
                 }
+                if !asked.contains("stream=1") {
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                    let _ = stream.write_all(format!("{head}{list}").as_bytes());
+                    continue;
+                }
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 let list = if list.is_empty() { String::new() } else { chunk(&list) };
                 let _ = stream.write_all(format!("{head}{list}").as_bytes());
@@ -274,6 +295,13 @@
         self.news.lock().unwrap().clear();
     }
 
+    /// Waits until a watch has been ended by the other side.
+    pub fn ended(&self) {
+        let stream = self.news.lock().unwrap()[0].try_clone().unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        assert_eq!((&stream).read(&mut [0]).unwrap(), 0);
+    }
+
     /// Waits for a new watch.
     pub fn watched(&self) {
         self.watched.recv_timeout(LONG).expect("a watch comes");
@@ -295,6 +323,17 @@
     )
 }
 
+pub fn configuration(discovery: &Discovery) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":1024}},"settings":{SETTINGS}}}"#,
+        discovery.address
+    )
+}
+
+pub fn whole(rev: u64, targets: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","))
+}
+
 const SETTINGS: &str = r#"{"request_classes":[
  {"name":"own","aim_us":400000,"deadline_us":1200000,"effect":"safe","credit":3},
  {"name":"any","aim_us":400000,"deadline_us":1000000,"effect":"safe","credit":3,"late_share":0.2},
@@ -317,7 +356,7 @@
     /// with this text.
     pub fn start_by(servers: &[&Server], shell: &str, file: &str) -> Proxy {
         let targets: Vec<_> = servers.iter().enumerate().map(|(n, s)| target(n, s, "SERVING")).collect();
-        let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, targets.join(","));
+        let list = whole(1, &targets);
         // Without members, discovery is down: it takes a watch and says nothing.
         let list = if servers.is_empty() { String::new() } else { list };
         let discovery = Discovery::start(list);
@@ -326,11 +365,7 @@
         let folder = std::env::temp_dir().join(format!("liftrelay-{}-{count}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let (config, postgres) = (folder.join("config.json"), folder.join("postgres.toml"));
-        let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":1024}},"settings":{SETTINGS}}}"#,
-            discovery.address
-        );
-        std::fs::write(&config, text).unwrap();
+        std::fs::write(&config, configuration(&discovery)).unwrap();
         let text = "listen = '127.0.0.1:0'\nread_class = 'own'\nwrite_class = 'write'\ngroup = 2\n\
             wait_ms = 3000\nsession_parameter = 1\nstatements = 3\n";
         std::fs::write(&postgres, text).unwrap();
@@ -375,6 +410,14 @@
         self.folder.join("more.toml")
     }
 
+    /// Replaces the configuration, and says so.
+    pub fn reload(&self, text: &str) {
+        let new = self.folder.join("new.json");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(new, self.folder.join("config.json")).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
     }
