Keep the watch on discovery over a pause of the process

Checked: the process is stopped and continued while it runs; a read with a time limit then ends with EINTR. Body::fill in net/discovery.rs took that for the end of the watch and threw away what had come, so the proxy lived on the list it was started with. Ruled out: Frames::fill retries, connect and write do too; the list itself was served (the other proxy heard it).

The test stops and continues the process and fails without the change.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -244,7 +244,14 @@
     fn fill(&mut self) -> Result<bool> {
         let mut part = [0; 4096];
         let mut stream = self.stream;
-        let n = stream.read(&mut part)?;
+        let n = loop {
+            match stream.read(&mut part) {
+                // Guards against a pause of the whole process (SIGSTOP, SIGCONT) passing for the watch's end:
+                // a read with a time limit is not taken up again by the system.
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                other => break other?,
+            }
+        };
         self.buffer.extend_from_slice(&part[..n]);
         Ok(n > 0)
     }
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -195,6 +195,24 @@
     assert!(proxy.child.wait().unwrap().success());
 }
 
+/// Guards against a pause of the process ending the watch, and the proxy living on an old list.
+#[test]
+fn a_stopped_and_continued_process_keeps_its_watch() {
+    let (old, new) = (Server::start(true), Server::start(true));
+    let proxy = Proxy::start(&[&old]);
+    proxy.signal("-STOP");
+    proxy.signal("-CONT");
+    // Only the watch that was there before hears this.
+    proxy.discovery.push(&whole(2, &[target(7, &new, "SERVING")]));
+    let mut client = proxy.client();
+    let asked = Instant::now();
+    while new.runs() == 0 && asked.elapsed() < Duration::from_secs(5) {
+        client.query(&read(1));
+    }
+    assert_eq!(client.query(&write(2, 900)), "T D(value) C Z");
+    assert_eq!(old.log().iter().filter(|t| t.starts_with("INSERT")).count(), 0);
+}
+
 #[test]
 fn nothing_new_goes_to_a_member_that_drains() {
     let (primary, one, two) = (Server::start(true), Server::start(false), Server::start(false));
