--- a/src/config.rs
+++ b/src/config.rs
@@ -23,6 +23,9 @@
     /// Descriptors that the process may hold.
     #[serde(skip)]
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    #[serde(skip)]
+    pub memory: usize,
     /// The member list as this proxy last had it.
     #[serde(default)]
     pub known: List,
@@ -34,13 +37,15 @@
 }
 
 #[derive(Debug, Deserialize)]
+#[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 256.0 }
     }
 }
 
@@ -51,6 +56,8 @@
 
 /// The highest number of descriptors used, whatever the limit.
 const MOST_SOCKETS: usize = 1024;
+/// The most memory used, in MB, whatever the limit.
+const MOST_MEMORY_MB: f64 = 1024.0;
 
 impl Config {
     /// Reads the file that `GW_CONFIG` names; the other variables go before what it says.
@@ -72,6 +79,7 @@
             config.name = name;
         }
         config.sockets = config.limits.sockets.min(MOST_SOCKETS);
+        config.memory = (config.limits.memory_mb.clamp(16.0, MOST_MEMORY_MB) as usize) << 20;
         Ok(config)
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -10,9 +10,14 @@
 use crate::pg::{self, Malformed, Opening};
 use crate::store::Change;
 use crate::{Micros, Request, RequestId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::ops::Range;
 
+/// A connection may be closed to make room when it has been idle this long, or has opened with nothing for
+/// this long.
+const IDLE: Micros = 2_000_000;
+const SILENT: Micros = 200_000;
+
 /// The number of a client connection, never used twice.
 pub type ClientId = u64;
 
@@ -64,6 +69,8 @@
     Write(ClientId, Vec<u8>),
     /// Close a client's connection once all is written.
     Close(ClientId),
+    /// Close it if nothing of another command has come: [`Lobby::forget`] is told if so.
+    Retire(ClientId),
     /// A client may send one more command.
     Credit(ClientId),
     /// A request is taken.
@@ -86,6 +93,8 @@
     pub after: Option<Micros>,
     /// A client's retry.
     pub repeat: bool,
+    /// The request's own name, which no other open request may have; empty for none.
+    pub name: Vec<u8>,
     /// How long the client waits.
     pub wait: Micros,
     /// What a member is asked.
@@ -129,23 +138,31 @@
 #[derive(Default)]
 pub struct Desk {
     last: RequestId,
-    owners: BTreeMap<RequestId, ClientId>,
+    owners: BTreeMap<RequestId, (ClientId, Vec<u8>)>,
+    /// The names of open requests.
+    names: HashSet<Vec<u8>>,
 }
 
 impl Desk {
-    fn open(&mut self, client: ClientId) -> RequestId {
+    /// `None` if a request of that name is open.
+    fn open(&mut self, client: ClientId, name: Vec<u8>) -> Option<RequestId> {
+        if !name.is_empty() && !self.names.insert(name.clone()) {
+            return None;
+        }
         loop {
             self.last = self.last.wrapping_add(1);
             if !self.owners.contains_key(&self.last) {
-                self.owners.insert(self.last, client);
-                return self.last;
+                self.owners.insert(self.last, (client, name));
+                return Some(self.last);
             }
         }
     }
 
     /// Whose it was, once.
     pub fn close(&mut self, request: RequestId) -> Option<ClientId> {
-        self.owners.remove(&request)
+        let (client, name) = self.owners.remove(&request)?;
+        self.names.remove(&name);
+        Some(client)
     }
 }
 
@@ -154,7 +171,8 @@
     greeted: bool,
     queue: VecDeque<T::Command>,
     busy: Option<RequestId>,
-    /// When its last answer was given: the time of a request that waited its turn counts from there.
+    /// When it came, or its last answer was given: the time of a request that waited its turn counts from
+    /// there.
     free_at: Micros,
     session: T::Session,
 }
@@ -200,12 +218,21 @@
         self.clients.len()
     }
 
-    /// Closes a connection that is between requests, to make room.
-    pub fn evict(&mut self) -> Option<Out> {
-        let idle = |c: &Client<T>| c.greeted && c.busy.is_none() && c.queue.is_empty();
-        let (&id, _) = self.clients.iter().find(|(_, c)| idle(c))?;
+    /// The connection that can best be closed to make room: one that has said nothing, or the one that was
+    /// idle longest, if that is long enough. With how long that is.
+    pub fn idlest(&self, now: Micros) -> Option<(Micros, ClientId)> {
+        let idle = self.clients.iter().filter(|(_, c)| c.busy.is_none() && c.queue.is_empty());
+        let long = idle.filter_map(|(id, c)| {
+            let idle = now.saturating_sub(c.free_at);
+            let enough = idle >= if c.greeted { IDLE } else { SILENT };
+            enough.then_some((idle + if c.greeted { 0 } else { IDLE }, *id))
+        });
+        long.max()
+    }
+
+    /// A connection has been closed between requests.
+    pub fn forget(&mut self, id: ClientId) {
         self.clients.remove(&id);
-        Some(Out::Close(id))
     }
 
     /// Takes what a client said.
@@ -213,7 +240,7 @@
         let mut out = Vec::new();
         if let Said::Connected { secret } = said {
             let (queue, session) = (VecDeque::new(), T::Session::default());
-            let client = Client { secret, greeted: false, queue, busy: None, free_at: 0, session };
+            let client = Client { secret, greeted: false, queue, busy: None, free_at: now, session };
             self.clients.insert(id, client);
             return out;
         }
@@ -284,9 +311,18 @@
                     out.push(Out::Credit(id));
                 }
                 Step::Ask(ask) => {
-                    let request = desk.open(id);
+                    let Ask { class, group, session, after, repeat, name, wait, work } = ask;
+                    // Guards against an answer that would be taken for another request's.
+                    let Some(request) = desk.open(id, name) else {
+                        let mut bytes = Vec::new();
+                        let why = "a request of this id is open";
+                        pg::put_error(&mut bytes, "ERROR", pg::PROTOCOL_VIOLATION, why, None);
+                        pg::put_ready(&mut bytes);
+                        out.push(Out::Write(id, bytes));
+                        out.push(Out::Credit(id));
+                        continue;
+                    };
                     client.busy = Some(request);
-                    let Ask { class, group, session, after, repeat, wait, work } = ask;
                     let request = Request {
                         id: request,
                         class,
@@ -306,8 +342,7 @@
     fn close_if_idle(&mut self, id: ClientId, out: &mut Vec<Out>) {
         let idle = self.clients.get(&id).is_some_and(|c| c.busy.is_none() && c.queue.is_empty());
         if self.closing && idle {
-            self.clients.remove(&id);
-            out.push(Out::Close(id));
+            out.push(Out::Retire(id));
         }
     }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -4,9 +4,13 @@
 use crate::core::Verdict;
 use crate::net::clock::from_unix_ms;
 use crate::pg::{self, statement};
-use crate::{Micros, Settings};
+use crate::{Micros, Need, Settings};
 use std::ops::Range;
 
+/// The longest `id`, and the longest `d` in milliseconds.
+const LONGEST_ID: usize = 64;
+const LONGEST_WAIT: u64 = 600_000;
+
 /// A simple query and what was read off its comment.
 pub struct Query {
     /// When its last byte was read.
@@ -31,20 +35,27 @@
         if text.trim_ascii().is_empty() {
             return Ok(Asked::Empty);
         }
+        statement::sound(text)?;
         let fields = statement::fields(text);
         let name = fields.class.ok_or("the comment names no class")?;
         let class = settings.class(name).ok_or("unknown class")?;
-        if !fields.id {
-            return Err("the comment holds no id");
+        let word = if settings.classes[class].need == Need::Write { "insert" } else { "select" };
+        if statement::first_word(text) != word {
+            return Err("the statement does not fit its class");
+        }
+        let id = fields.id.filter(|id| !id.is_empty() && id.len() <= LONGEST_ID);
+        let (wait, place) = fields.wait.ok_or("the comment holds no d, or one that is no number")?;
+        if !(1..=LONGEST_WAIT).contains(&wait) {
+            return Err("nobody waits that long");
         }
-        let (wait, place) = fields.wait.ok_or("the comment holds no d")?;
         let ask = Ask {
             class,
-            group: fields.group.ok_or("the comment holds no cluster")?,
-            session: fields.key.map_or(0, statement::session),
+            group: fields.group.ok_or("the comment holds no cluster, or one that is no number")?,
+            session: fields.key.map(statement::session).ok_or("the statement holds no key")?,
             after: fields.after.map(from_unix_ms),
             repeat: fields.repeat,
-            wait: from_unix_ms(wait).min(1 << 40),
+            name: id.ok_or("the comment holds no id, or an impossible one")?.to_vec(),
+            wait: from_unix_ms(wait),
             work: Work::Simple { text: Vec::new(), wait: None },
         };
         Ok(Asked::Request(Box::new(ask), place))
--- a/src/front/postgres.rs
+++ b/src/front/postgres.rs
@@ -214,6 +214,8 @@
             session: key,
             after: after.max(self.commits.get(&key).copied()),
             repeat: used.iter().any(|k| k.repeat),
+            // A statement is prepared once and its id comes with every execution.
+            name: Vec::new(),
             wait: used.iter().map(|k| k.wait).min().unwrap_or(first.wait),
             work,
         })
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,254 +1,716 @@
-//! A client's connection: one thread reads, one writes. Neither decides anything.
+//! The clients' connections: one thread accepts and reads for all of them, and the loop writes. Neither
+//! decides anything.
+//!
+//! A thread or two for each client would be the plain way with blocking sockets. Measured with 170 of them, two
+//! thirds of a proxy's part of a core went into threads that were woken only to be stopped and continued with
+//! the process; so the sockets are non-blocking here, and `epoll` says which of them have something.
 
 use super::clock::Clock;
-use super::{Message, Messages, spawn};
-use crate::front::ClientId;
-use crate::front::Said;
-use crate::front::platform::{Asked, Query};
+use super::{Message, Messages};
+use crate::front::platform::Asked;
 use crate::front::postgres::Batch;
+use crate::front::{ClientId, Said, platform::Query};
 use crate::pg::{self, Frames, Malformed};
 use crate::{Micros, Settings};
-use crossbeam_channel::{Receiver, Sender, bounded};
-use std::io::Write;
-use std::net::{Shutdown, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
-
-/// Commands that one client may have unanswered before its reader waits; a long one counts as several.
-const AHEAD: usize = 16;
-/// What counts as one command.
-const SHARE: usize = 16 * 1024;
-/// Answers that may wait for one client's socket, and bytes that may wait for all; with more, a client that
-/// does not read is cut off.
-const UNWRITTEN: usize = 32;
-const UNWRITTEN_BYTES: usize = 32 << 20;
-/// A client that takes nothing for this long is cut off.
-const STUCK: Duration = Duration::from_secs(10);
+use crossbeam_channel::Sender;
+use rustix::event::Timespec;
+use rustix::event::epoll::{self, EventData, EventFlags};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io::{ErrorKind, Read, Result, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Commands that one client may have unanswered before it is not read from, and their bytes.
+const AHEAD: usize = 8;
+const AHEAD_BYTES: usize = 160 * 1024;
+/// Answers that may wait for one client's socket; with more, a client that does not read is cut off.
+const UNWRITTEN: usize = 16;
+/// A client has this long for its first whole command, and for each message that it has begun.
+const FIRST: Duration = Duration::from_millis(2200);
+const WHOLE: Duration = Duration::from_millis(2200);
+/// What is read, and how many connections are accepted, at once.
+const CHUNK: usize = 64 * 1024;
+const ACCEPTS: usize = 16;
+/// Connections beyond the most clients that the loop may still have to turn away.
+const DOOR: usize = 8;
+/// Without a free descriptor, the next try to accept comes after this.
+const FULL_WAIT: Duration = Duration::from_millis(10);
+/// Part of a message, from which it counts in the bound on all of them.
+const LARGE: usize = 4096;
 
 /// Messages and bytes that may come before a Sync.
 const UNIT_MESSAGES: usize = 1024;
 const UNIT_BYTES: usize = 256 * 1024;
 
-/// What all writing threads share. Once the last has ended, the receiver at the other end of `alive` is told.
-#[derive(Clone)]
-pub struct Writers {
-    /// Bytes that wait for sockets.
-    pub unwritten: Arc<AtomicUsize>,
-    /// Held, never used.
-    pub alive: Sender<()>,
+/// In `Shared::busy`: the loop has closed the connection.
+const CLOSED: usize = 1 << 32;
+/// Events that are no client's. Clients are counted from behind them.
+const WAKER: u64 = 0;
+const LISTENERS: u64 = 1;
+/// The first client's number.
+const FIRST_CLIENT: ClientId = 16;
+
+/// What may be held for all clients together.
+#[derive(Clone, Copy)]
+pub struct Bounds {
+    /// Connections.
+    pub clients: usize,
+    /// Bytes of answers that wait for sockets.
+    pub unwritten: usize,
+    /// Bytes of commands that are not answered yet.
+    pub held: usize,
+    /// Bytes of messages that have not come whole yet.
+    pub partial: usize,
 }
 
-/// How a listener's clients talk.
-#[derive(Clone)]
-pub enum Dialect {
-    /// Simple queries, as the platform words them.
-    Platform(Arc<Settings>),
-    /// Extended queries.
-    Postgres,
+/// What the loop and the reading thread share of all clients.
+struct Common {
+    epoll: OwnedFd,
+    waker: UnixStream,
+    bounds: Bounds,
+    unwritten: AtomicUsize,
+    held: AtomicUsize,
+    open: AtomicUsize,
+    /// No connection is accepted until one has gone.
+    full: AtomicBool,
+    ending: AtomicBool,
 }
 
-/// The reducer's end of a client's connection.
-pub struct Handle {
-    answers: Sender<Vec<u8>>,
-    credits: Receiver<usize>,
-    /// Bytes that wait for sockets, of all clients.
-    unwritten: Arc<AtomicUsize>,
-    stream: Arc<TcpStream>,
-    /// It came in on the extended listener.
-    pub extended: bool,
+impl Common {
+    fn wake(&self) {
+        let _ = (&self.waker).write(&[0]);
+    }
 }
 
-impl Handle {
-    /// Starts the two threads of a connection; `None` where there are none for it.
-    pub fn open(
-        id: ClientId,
-        stream: TcpStream,
-        dialect: Dialect,
-        clock: Clock,
-        messages: Messages,
-        writers: Writers,
-    ) -> Option<Handle> {
-        let extended = matches!(dialect, Dialect::Postgres);
-        let _ = stream.set_nodelay(true);
-        let _ = stream.set_write_timeout(Some(STUCK));
-        let stream = Arc::new(stream);
-        let (answers, queue) = bounded::<Vec<u8>>(UNWRITTEN);
-        let unwritten = writers.unwritten.clone();
-        let (spend, credits) = bounded(AHEAD);
-        let writes = stream.clone();
-        spawn("client-write", move || {
-            while let Ok(bytes) = queue.recv() {
-                let written = (&*writes).write_all(&bytes);
-                writers.unwritten.fetch_sub(bytes.len(), Ordering::Relaxed);
-                if written.is_err() {
-                    break;
-                }
+/// What they share of one client.
+struct Shared {
+    id: ClientId,
+    stream: TcpStream,
+    common: Arc<Common>,
+    /// Commands not answered, and one more while bytes are being taken in. With none, the loop may close the
+    /// connection without a request crossing it unseen.
+    busy: AtomicUsize,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Answers that wait for the socket, and what of the first is written.
+    answers: VecDeque<Vec<u8>>,
+    written: usize,
+    /// The bytes of commands not answered.
+    commands: VecDeque<usize>,
+    /// It is not read from until there is room for another command.
+    paused: bool,
+    /// The reading thread has done with it.
+    left: bool,
+    /// It is closed once all is written.
+    closing: bool,
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        let state = self.state.get_mut().unwrap_or_else(|e| e.into_inner());
+        let unwritten: usize = state.answers.iter().map(Vec::len).sum();
+        self.common.unwritten.fetch_sub(unwritten, Ordering::SeqCst);
+        self.common.held.fetch_sub(state.commands.iter().sum(), Ordering::SeqCst);
+        self.common.open.fetch_sub(1, Ordering::SeqCst);
+        if self.common.full.swap(false, Ordering::SeqCst) {
+            self.common.wake();
+        }
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Asks for the events that this state wants; `now` also for one at once.
+    fn watch(&self, state: &State, now: bool) {
+        let mut flags = EventFlags::empty();
+        flags.set(EventFlags::IN, !state.paused);
+        flags.set(EventFlags::OUT, now || !state.answers.is_empty());
+        if !state.left {
+            let _ = epoll::modify(&self.common.epoll, &self.stream, EventData::new_u64(self.id), flags);
+        }
+    }
+
+    /// Writes what the socket takes; `false` if it takes nothing any more.
+    fn flush(&self, state: &mut State) -> bool {
+        while let Some(first) = state.answers.front() {
+            match (&self.stream).write(&first[state.written..]) {
+                Ok(n) => state.written += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == ErrorKind::WouldBlock,
             }
-            while let Ok(bytes) = queue.try_recv() {
-                writers.unwritten.fetch_sub(bytes.len(), Ordering::Relaxed);
-            }
-            // Ends the reader too.
-            let _ = writes.shutdown(Shutdown::Both);
-        })
-        .ok()?;
-        let reads = stream.clone();
-        spawn("client-read", move || {
-            let mut reader = Reader { id, clock, messages, spend, frames: Frames::default() };
-            match dialect {
-                Dialect::Platform(settings) => {
-                    let end = reader
-                        .opened(&reads, Message::Client)
-                        .unwrap_or_else(|| reader.queries(&reads, &settings).unwrap_or_else(Said::Malformed));
-                    reader.say(Message::Client, end);
-                }
-                Dialect::Postgres => {
-                    let end = reader
-                        .opened(&reads, Message::Extended)
-                        .unwrap_or_else(|| reader.batches(&reads).unwrap_or_else(Said::Malformed));
-                    reader.say(Message::Extended, end);
-                }
+            if state.written == first.len() {
+                self.common.unwritten.fetch_sub(first.len(), Ordering::SeqCst);
+                state.answers.pop_front();
+                state.written = 0;
             }
-        })
-        .ok()?;
-        Some(Handle { answers, credits, unwritten, stream, extended })
+        }
+        if state.closing {
+            let _ = self.stream.shutdown(Shutdown::Both);
+        }
+        true
     }
+}
+
+/// The loop's end of a client's connection. Dropped, it closes the connection once all is written.
+pub struct Handle {
+    shared: Arc<Shared>,
+    /// It came in on the extended listener.
+    pub extended: bool,
+}
 
-    /// Hands bytes to the writer; `false` if the client does not read.
+impl Handle {
+    /// Hands bytes to the socket; `false` if the client does not read.
     pub fn write(&self, bytes: Vec<u8>) -> bool {
-        let length = bytes.len();
-        let before = self.unwritten.fetch_add(length, Ordering::Relaxed);
-        let queued = before + length <= UNWRITTEN_BYTES && self.answers.try_send(bytes).is_ok();
-        if !queued {
-            self.unwritten.fetch_sub(length, Ordering::Relaxed);
+        let (shared, length) = (&self.shared, bytes.len());
+        let mut state = shared.state();
+        let before = shared.common.unwritten.fetch_add(length, Ordering::SeqCst);
+        let waited = !state.answers.is_empty();
+        if waited && (before + length > shared.common.bounds.unwritten || state.answers.len() >= UNWRITTEN) {
+            shared.common.unwritten.fetch_sub(length, Ordering::SeqCst);
+            return false;
+        }
+        state.answers.push_back(bytes);
+        if waited {
+            return true;
+        }
+        let open = shared.flush(&mut state);
+        if open && !state.answers.is_empty() {
+            shared.watch(&state, false);
         }
-        queued
+        open
     }
 
     /// Lets the client send one more command.
     pub fn credit(&self) {
-        // A command's first token says how many it took.
-        let took = self.credits.try_recv().unwrap_or(0);
-        for _ in 1..took {
-            let _ = self.credits.try_recv();
+        let shared = &self.shared;
+        shared.busy.fetch_sub(1, Ordering::SeqCst);
+        let mut state = shared.state();
+        let size = state.commands.pop_front().unwrap_or(0);
+        shared.common.held.fetch_sub(size, Ordering::SeqCst);
+        if state.paused {
+            state.paused = false;
+            shared.watch(&state, true);
         }
     }
 
+    /// Closes the connection if it is between requests, and nothing of another one has been read.
+    pub fn retire(&self) -> bool {
+        self.shared.busy.compare_exchange(0, CLOSED, Ordering::SeqCst, Ordering::SeqCst).is_ok()
+    }
+
     /// Cuts the connection at once, whatever is unwritten.
     pub fn cut(&self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
+        let _ = self.shared.stream.shutdown(Shutdown::Both);
     }
 }
 
-struct Reader {
-    id: ClientId,
+impl Drop for Handle {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        self.shared.busy.fetch_or(CLOSED, Ordering::SeqCst);
+        state.closing = true;
+        if state.answers.is_empty() || state.left {
+            let _ = self.shared.stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Ends the thread that reads once it has no connection any more.
+pub struct Ender(Arc<Common>);
+
+impl Ender {
+    /// No connection is accepted any more, and the thread ends when the last has gone.
+    pub fn end(&self) {
+        self.0.ending.store(true, Ordering::SeqCst);
+        self.0.wake();
+    }
+}
+
+/// Where a client's bytes stand.
+enum Stage {
+    /// The startup message has not come.
+    Opening,
+    /// Simple queries.
+    Platform,
+    /// Extended queries: messages up to a Sync.
+    Postgres { messages: Vec<Vec<u8>>, size: usize },
+}
+
+struct Guest {
+    shared: Arc<Shared>,
+    extended: bool,
+    frames: Frames,
+    stage: Stage,
+    /// When its last bytes came.
+    at: Micros,
+    /// It counts in `Shared::busy` for bytes that are no whole command yet.
+    holds: bool,
+    /// It has sent a whole command, and one since its limit was set.
+    asked: bool,
+    took: bool,
+    /// By when what it has begun must be whole.
+    limit: Option<Instant>,
+    /// What it counts for in the bound on parts of messages.
+    part: usize,
+}
+
+/// The thread that accepts and reads.
+pub struct Reception {
+    common: Arc<Common>,
+    woken: UnixStream,
+    listeners: Vec<(TcpListener, bool)>,
+    guests: HashMap<ClientId, Guest>,
+    limits: BTreeSet<(Instant, ClientId)>,
+    last: ClientId,
+    scratch: Vec<u8>,
+    partial: usize,
+    /// The listeners are not watched, until then if that was for want of descriptors.
+    deaf: Option<Option<Instant>>,
     clock: Clock,
+    settings: Arc<Settings>,
     messages: Messages,
-    spend: Sender<usize>,
-    frames: Frames,
+    /// Held until the thread ends.
+    alive: Option<Sender<()>>,
 }
 
-/// How what a client said is wrapped for the loop.
-type Wrap<C> = fn(ClientId, Said<C>) -> Message;
+/// How a connection goes on.
+enum Next {
+    /// More bytes are wanted.
+    More,
+    /// It has as many commands unanswered as it may.
+    Full,
+    /// Nothing more is read from it.
+    Done,
+}
 
-impl Reader {
-    fn say<C>(&self, wrap: Wrap<C>, said: Said<C>) -> bool {
-        self.messages.send(wrap(self.id, said)).is_ok()
+impl Reception {
+    /// Prepares the thread; each listener comes with whether it is the extended one.
+    pub fn new(
+        listeners: Vec<(TcpListener, bool)>,
+        bounds: Bounds,
+        settings: Arc<Settings>,
+        clock: Clock,
+        messages: Messages,
+        alive: Sender<()>,
+    ) -> Result<(Reception, Ender)> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let (waker, woken) = UnixStream::pair()?;
+        waker.set_nonblocking(true)?;
+        woken.set_nonblocking(true)?;
+        epoll::add(&epoll, &woken, EventData::new_u64(WAKER), EventFlags::IN)?;
+        for (n, (listener, _)) in listeners.iter().enumerate() {
+            listener.set_nonblocking(true)?;
+            epoll::add(&epoll, listener, EventData::new_u64(LISTENERS + n as u64), EventFlags::IN)?;
+        }
+        let common = Arc::new(Common {
+            epoll,
+            waker,
+            bounds,
+            unwritten: AtomicUsize::new(0),
+            held: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+            full: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
+        });
+        let ender = Ender(common.clone());
+        let reception = Reception {
+            common,
+            woken,
+            listeners,
+            guests: HashMap::new(),
+            limits: BTreeSet::new(),
+            last: FIRST_CLIENT,
+            scratch: vec![0; CHUNK],
+            partial: 0,
+            deaf: None,
+            clock,
+            settings,
+            messages,
+            alive: Some(alive),
+        };
+        Ok((reception, ender))
     }
 
-    /// Says a command once the client may have another one unanswered.
-    fn command<C>(&self, wrap: Wrap<C>, command: C, size: usize) -> bool {
-        let tokens = (1 + size / SHARE).min(AHEAD);
-        let spent = (0..tokens).all(|n| self.spend.send(if n == 0 { tokens } else { 0 }).is_ok());
-        spent && self.say(wrap, Said::Command(command))
+    /// Runs until it is told to end and the last connection has gone.
+    pub fn run(mut self) {
+        let mut events = Vec::with_capacity(64);
+        loop {
+            let ending = self.common.ending.load(Ordering::SeqCst);
+            if ending && self.guests.is_empty() {
+                drop(self.alive.take());
+                return;
+            }
+            let due = [self.limits.first().map(|l| l.0), self.deaf.flatten()].into_iter().flatten().min();
+            let wait = due.map(|due| {
+                let left = due.saturating_duration_since(Instant::now()) + Duration::from_millis(1);
+                Timespec { tv_sec: left.as_secs() as i64, tv_nsec: left.subsec_nanos().into() }
+            });
+            let space = rustix::buffer::spare_capacity(&mut events);
+            if epoll::wait(&self.common.epoll, space, wait.as_ref()).is_err() {
+                events.clear();
+            }
+            for event in events.drain(..) {
+                match event.data.u64() {
+                    WAKER => while matches!((&self.woken).read(&mut [0; 64]), Ok(n) if n > 0) {},
+                    n if n < FIRST_CLIENT => self.accept((n - LISTENERS) as usize),
+                    id => self.event(id, event.flags),
+                }
+            }
+            self.expire();
+            self.listen();
+        }
     }
 
-    /// Reads up to the startup message; returns how the connection ended if it did.
-    fn opened<C>(&mut self, stream: &TcpStream, wrap: Wrap<C>) -> Option<Said<C>> {
-        loop {
-            match self.frames.opening() {
-                Err(e) => return Some(Said::Malformed(e)),
-                Ok(Some(opening)) => {
-                    let started = opening == pg::Opening::Startup;
-                    let last = matches!(opening, pg::Opening::Cancel { .. });
-                    if !self.say(wrap, Said::Opening(opening)) || last {
-                        return Some(Said::Gone);
-                    }
-                    if started {
-                        return None;
-                    }
+    fn listen(&mut self) {
+        let Some(until) = self.deaf else { return };
+        let room = self.common.open.load(Ordering::SeqCst) < self.common.bounds.clients + DOOR;
+        if room && until.is_none_or(|at| at <= Instant::now()) {
+            self.deaf = None;
+            self.hear(EventFlags::IN);
+        }
+    }
+
+    fn hear(&self, flags: EventFlags) {
+        for (n, (listener, _)) in self.listeners.iter().enumerate() {
+            let data = EventData::new_u64(LISTENERS + n as u64);
+            let _ = epoll::modify(&self.common.epoll, listener, data, flags);
+        }
+    }
+
+    fn accept(&mut self, n: usize) {
+        for _ in 0..ACCEPTS {
+            if self.deaf.is_some() {
+                return;
+            }
+            if self.common.open.load(Ordering::SeqCst) >= self.common.bounds.clients + DOOR {
+                // Guards against a crowd that takes every descriptor: it waits in the backlog.
+                self.common.full.store(true, Ordering::SeqCst);
+                self.deaf = Some(None);
+                self.hear(EventFlags::empty());
+                return;
+            }
+            let Some((listener, extended)) = self.listeners.get(n) else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let extended = *extended;
+                    self.welcome(stream, extended);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    // Guards against a full table of descriptors: the connection waits in the backlog.
+                    tracing::warn!(error = %e, "no connection accepted");
+                    self.deaf = Some(Some(Instant::now() + FULL_WAIT));
+                    self.hear(EventFlags::empty());
+                    return;
+                }
+            }
+        }
+    }
+
+    fn welcome(&mut self, stream: TcpStream, extended: bool) {
+        let _ = stream.set_nodelay(true);
+        self.last += 1;
+        let id = self.last;
+        let usable = stream.set_nonblocking(true).is_ok();
+        let data = EventData::new_u64(id);
+        if !usable || epoll::add(&self.common.epoll, &stream, data, EventFlags::IN).is_err() {
+            return;
+        }
+        self.common.open.fetch_add(1, Ordering::SeqCst);
+        let shared = Arc::new(Shared {
+            id,
+            stream,
+            common: self.common.clone(),
+            busy: AtomicUsize::new(0),
+            state: Mutex::default(),
+        });
+        let limit = Instant::now() + FIRST;
+        self.limits.insert((limit, id));
+        let handle = Handle { shared: shared.clone(), extended };
+        self.guests.insert(
+            id,
+            Guest {
+                shared,
+                extended,
+                frames: Frames::default(),
+                stage: Stage::Opening,
+                at: 0,
+                holds: false,
+                asked: false,
+                took: false,
+                limit: Some(limit),
+                part: 0,
+            },
+        );
+        let _ = self.messages.send(Message::Accepted(id, handle));
+    }
+
+    fn event(&mut self, id: ClientId, flags: EventFlags) {
+        let Some(guest) = self.guests.get_mut(&id) else { return };
+        let shared = guest.shared.clone();
+        let (mut open, paused) = {
+            let mut state = shared.state();
+            let open = shared.flush(&mut state);
+            if flags.contains(EventFlags::OUT) {
+                shared.watch(&state, false);
+            }
+            (open, state.paused)
+        };
+        let broken = flags.intersects(EventFlags::ERR | EventFlags::HUP);
+        open &= !broken;
+        let closed = shared.busy.load(Ordering::SeqCst) & CLOSED != 0;
+        if closed {
+            // The loop has done with it: what has come since is not read.
+            if !open || shared.state().answers.is_empty() {
+                self.leave(id);
+            }
+            return;
+        }
+        if paused && open {
+            return;
+        }
+        if !guest.holds {
+            if shared.busy.fetch_add(1, Ordering::SeqCst) & CLOSED != 0 {
+                return self.leave(id);
+            }
+            guest.holds = true;
+        }
+        let mut next = Next::More;
+        if open && flags.contains(EventFlags::IN) {
+            match (&shared.stream).read(&mut self.scratch) {
+                Ok(0) => open = false,
+                Ok(n) => {
+                    guest.at = self.clock.now();
+                    guest.frames.push(&self.scratch[..n]);
                 }
-                Ok(None) => match self.frames.fill(stream) {
-                    Ok(true) => {}
-                    _ => return Some(Said::Gone),
-                },
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                Err(_) => open = false,
             }
         }
+        if open {
+            next = guest.advance(id, &self.settings, &self.messages);
+        } else {
+            guest.tell_gone(id, &self.messages);
+        }
+        if !open || matches!(next, Next::Done) {
+            return self.leave(id);
+        }
+        let rest = guest.frames.rest().len() + guest.stage.size();
+        let part = if rest >= LARGE { rest } else { 0 };
+        self.partial = self.partial + part - guest.part;
+        guest.part = part;
+        if self.partial > self.common.bounds.partial && part > 0 {
+            // Guards against many clients that each send a part of something long.
+            guest.say_malformed(id, Malformed("too much at once"), &self.messages);
+            return self.leave(id);
+        }
+        let waiting = matches!(next, Next::Full);
+        if guest.frames.rest().is_empty() && guest.stage.between() {
+            guest.frames = Frames::default();
+            guest.holds = false;
+            shared.busy.fetch_sub(1, Ordering::SeqCst);
+        }
+        let begun = guest.holds && !waiting;
+        let limit = match guest.limit {
+            _ if waiting => None,
+            Some(limit) if !guest.asked || (begun && !guest.took) => Some(limit),
+            _ => begun.then(|| Instant::now() + WHOLE),
+        };
+        guest.took = false;
+        if limit != guest.limit {
+            guest.limit.map(|old| self.limits.remove(&(old, id)));
+            limit.map(|new| self.limits.insert((new, id)));
+            guest.limit = limit;
+        }
     }
 
-    fn queries(&mut self, stream: &TcpStream, settings: &Settings) -> Result<Said<Query>, Malformed> {
-        let mut at: Micros = self.clock.now();
+    /// Guards against clients that open and say nothing, or begin something and never end it.
+    fn expire(&mut self) {
+        while let Some(&(limit, id)) = self.limits.first()
+            && limit <= Instant::now()
+        {
+            self.limits.remove(&(limit, id));
+            let Some(guest) = self.guests.get_mut(&id) else { continue };
+            guest.limit = None;
+            guest.say_malformed(id, Malformed("no whole command in time"), &self.messages);
+            self.leave(id);
+        }
+    }
+
+    /// Reads no more from a client. The connection is closed when the loop drops its end, too.
+    fn leave(&mut self, id: ClientId) {
+        let Some(guest) = self.guests.remove(&id) else { return };
+        let _ = epoll::delete(&self.common.epoll, &guest.shared.stream);
+        guest.limit.map(|limit| self.limits.remove(&(limit, id)));
+        self.partial -= guest.part;
+        guest.shared.state().left = true;
+    }
+}
+
+impl Stage {
+    /// Bytes that have come of a command, in messages that are whole.
+    fn size(&self) -> usize {
+        if let Stage::Postgres { size, .. } = self { *size } else { 0 }
+    }
+
+    /// Nothing of a command has come.
+    fn between(&self) -> bool {
+        !matches!(self, Stage::Postgres { messages, .. } if !messages.is_empty())
+    }
+}
+
+impl Guest {
+    fn tell_gone(&self, id: ClientId, messages: &Messages) {
+        let _ = messages.send(match self.extended {
+            true => Message::Extended(id, Said::Gone),
+            false => Message::Client(id, Said::Gone),
+        });
+    }
+
+    fn say_malformed(&self, id: ClientId, why: Malformed, messages: &Messages) {
+        let _ = messages.send(match self.extended {
+            true => Message::Extended(id, Said::Malformed(why)),
+            false => Message::Client(id, Said::Malformed(why)),
+        });
+    }
+
+    /// Takes all that has come whole.
+    fn advance(&mut self, id: ClientId, settings: &Settings, messages: &Messages) -> Next {
         loop {
-            match self.frames.message()? {
-                Some((b'Q', message)) => {
-                    let (text, _) = pg::cstr(pg::body(message)).ok_or(Malformed("query without an end"))?;
-                    if text.len() + 6 != message.len() {
-                        return Err(Malformed("bytes behind the query's end"));
-                    }
-                    let query = Query { at, text: text.to_vec(), fields: Asked::read(text, settings) };
-                    let size = query.text.len();
-                    if !self.command(Message::Client, query, size) {
-                        return Ok(Said::Gone);
-                    }
+            let step = match self.stage {
+                Stage::Opening => self.opening(id, messages),
+                Stage::Platform => self.query(id, settings, messages),
+                Stage::Postgres { .. } => self.batch(id, messages),
+            };
+            match step {
+                Ok(None) => {}
+                Ok(Some(next)) => return next,
+                Err(why) => {
+                    self.say_malformed(id, why, messages);
+                    return Next::Done;
                 }
-                Some((b'X', _)) => return Ok(Said::Terminate),
-                Some((b'P' | b'B' | b'E' | b'D' | b'C' | b'H' | b'S' | b'F', _)) => {
-                    return Ok(Said::Unsupported);
+            }
+        }
+    }
+
+    fn opening(&mut self, id: ClientId, messages: &Messages) -> std::result::Result<Option<Next>, Malformed> {
+        let Some(opening) = self.frames.opening()? else { return Ok(Some(Next::More)) };
+        let started = opening == pg::Opening::Startup;
+        let last = matches!(opening, pg::Opening::Cancel { .. });
+        let _ = messages.send(match self.extended {
+            true => Message::Extended(id, Said::Opening(opening)),
+            false => Message::Client(id, Said::Opening(opening)),
+        });
+        if started {
+            self.stage = match self.extended {
+                true => Stage::Postgres { messages: Vec::new(), size: 0 },
+                false => Stage::Platform,
+            };
+        }
+        Ok(last.then_some(Next::Done))
+    }
+
+    /// Room for one more command, or the connection is read from no more until there is.
+    fn room(&mut self) -> bool {
+        let shared = &self.shared;
+        let mut state = shared.state();
+        let own: usize = state.commands.iter().sum();
+        let all = shared.common.held.load(Ordering::SeqCst);
+        let room = state.commands.is_empty()
+            || (state.commands.len() < AHEAD && own < AHEAD_BYTES && all < shared.common.bounds.held);
+        if !room {
+            state.paused = true;
+            shared.watch(&state, false);
+        }
+        room
+    }
+
+    /// Counts a command before the loop hears of it.
+    fn took(&mut self, size: usize) {
+        (self.asked, self.took) = (true, true);
+        self.shared.state().commands.push_back(size);
+        self.shared.common.held.fetch_add(size, Ordering::SeqCst);
+        self.shared.busy.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn query(
+        &mut self,
+        id: ClientId,
+        settings: &Settings,
+        messages: &Messages,
+    ) -> std::result::Result<Option<Next>, Malformed> {
+        if !self.frames.rest().is_empty() && !self.room() {
+            return Ok(Some(Next::Full));
+        }
+        let said = match self.frames.message()? {
+            None => return Ok(Some(Next::More)),
+            Some((b'Q', message)) => {
+                let (text, _) = pg::cstr(pg::body(message)).ok_or(Malformed("query without an end"))?;
+                if text.len() + 6 != message.len() {
+                    return Err(Malformed("bytes behind the query's end"));
                 }
-                Some(_) => return Err(Malformed("unknown message type")),
-                None => match self.frames.fill(stream) {
-                    Ok(true) => at = self.clock.now(),
-                    _ => return Ok(Said::Gone),
-                },
+                let query = Query { at: self.at, text: text.to_vec(), fields: Asked::read(text, settings) };
+                Said::Command(query)
             }
+            Some((b'X', _)) => Said::Terminate,
+            Some((b'P' | b'B' | b'E' | b'D' | b'C' | b'H' | b'S' | b'F', _)) => Said::Unsupported,
+            Some(_) => return Err(Malformed("unknown message type")),
+        };
+        let last = !matches!(said, Said::Command(_));
+        if let Said::Command(query) = &said {
+            self.took(query.text.len());
         }
+        let _ = messages.send(Message::Client(id, said));
+        Ok(last.then_some(Next::Done))
     }
 
-    fn batches(&mut self, stream: &TcpStream) -> Result<Said<Batch>, Malformed> {
-        let mut at: Micros = self.clock.now();
-        let (mut messages, mut size) = (Vec::new(), 0);
-        loop {
-            match self.frames.message()? {
-                Some((end @ (b'S' | b'H' | b'Q'), message)) => {
-                    if end == b'Q' {
-                        if !messages.is_empty() {
-                            return Err(Malformed("a query amid extended messages"));
-                        }
-                        size = message.len();
-                        messages.push(message.to_vec());
-                    } else if message.len() != 5 {
-                        return Err(Malformed("bytes where none belong"));
-                    }
-                    let batch = Batch { at, messages: std::mem::take(&mut messages), end };
-                    if !self.command(Message::Extended, batch, size) {
-                        return Ok(Said::Gone);
+    fn batch(&mut self, id: ClientId, messages: &Messages) -> std::result::Result<Option<Next>, Malformed> {
+        if !self.frames.rest().is_empty() && !self.room() {
+            return Ok(Some(Next::Full));
+        }
+        let Stage::Postgres { messages: parts, size } = &mut self.stage else { return Ok(None) };
+        match self.frames.message()? {
+            None => Ok(Some(Next::More)),
+            Some((end @ (b'S' | b'H' | b'Q'), message)) => {
+                if end == b'Q' {
+                    if !parts.is_empty() {
+                        return Err(Malformed("a query amid extended messages"));
                     }
-                    size = 0;
+                    *size = message.len();
+                    parts.push(message.to_vec());
+                } else if message.len() != 5 {
+                    return Err(Malformed("bytes where none belong"));
                 }
-                Some((b'P' | b'B' | b'E' | b'D' | b'C', message)) => {
-                    size += message.len();
-                    if size > UNIT_BYTES || messages.len() >= UNIT_MESSAGES {
-                        return Err(Malformed("too much before a Sync"));
-                    }
-                    messages.push(message.to_vec());
+                let batch = Batch { at: self.at, messages: std::mem::take(parts), end };
+                let size = std::mem::take(size);
+                self.took(size);
+                let _ = messages.send(Message::Extended(id, Said::Command(batch)));
+                Ok(None)
+            }
+            Some((b'P' | b'B' | b'E' | b'D' | b'C', message)) => {
+                *size += message.len();
+                if *size > UNIT_BYTES || parts.len() >= UNIT_MESSAGES {
+                    return Err(Malformed("too much before a Sync"));
                 }
-                Some((b'X', _)) => return Ok(Said::Terminate),
-                Some(_) => return Err(Malformed("unknown message type")),
-                None => match self.frames.fill(stream) {
-                    Ok(true) => at = self.clock.now(),
-                    _ => return Ok(Said::Gone),
-                },
+                parts.push(message.to_vec());
+                Ok(None)
+            }
+            Some((b'X', _)) => {
+                let _ = messages.send(Message::Extended(id, Said::Terminate));
+                Ok(Some(Next::Done))
             }
+            Some(_) => Err(Malformed("unknown message type")),
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,13 +17,12 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use discovery::{Watch, WatchId};
 use std::collections::HashMap;
-use std::io::ErrorKind;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Messages to the loop that may wait; whoever sends more waits.
-const UNREAD: usize = 8192;
+const UNREAD: usize = 1024;
 /// Threads need little: buffers are on the heap.
 const STACK: usize = 128 * 1024;
 /// Descriptors kept for the listener, discovery, logs and the like.
@@ -49,8 +48,8 @@
     Reload(Box<Result<Config, String>>),
     /// The member list as the store had it when this proxy last ran.
     Stored(discovery::List),
-    /// A new connection, and whether it came in on the extended listener.
-    Accepted(TcpStream, bool),
+    /// A new connection.
+    Accepted(ClientId, client::Handle),
     /// From a reader of the platform's front.
     Client(ClientId, Said<Query>),
     /// From a reader of the extended front.
@@ -82,6 +81,18 @@
     let postgres = postgres.transpose().map_err(std::io::Error::other)?;
     let core = Core::new(config.settings.clone(), config.seed, clock.now(), budget / 2);
     let (alive, written) = bounded(0);
+    let memory = config.memory;
+    let bounds = client::Bounds {
+        clients: budget - budget / 2,
+        unwritten: memory / 8,
+        held: memory / 8,
+        partial: memory / 8,
+    };
+    let listen_at = listener.local_addr()?;
+    let extended_at = bound.as_ref().map(TcpListener::local_addr).transpose()?;
+    let listeners = [(listener, false)].into_iter().chain(bound.map(|b| (b, true))).collect();
+    let (reception, ender) =
+        client::Reception::new(listeners, bounds, settings.clone(), clock, messages.clone(), alive)?;
     let mut host = Host {
         clock,
         core,
@@ -91,12 +102,11 @@
         settings,
         store,
         messages: messages.clone(),
-        writers: client::Writers { unwritten: Arc::default(), alive },
+        ender,
         written,
         links: HashMap::new(),
         clients: HashMap::new(),
-        last_client: 0,
-        most_clients: budget - budget / 2,
+        most_clients: bounds.clients,
         seed: config.seed,
         ready_at: Some(clock.now() + READY_AFTER),
         told: config.known.rev,
@@ -107,26 +117,16 @@
     let known = Input::List { full: true, members: config.known.members() };
     host.core(clock.now(), known);
     signals(messages.clone())?;
-    tracing::info!(name = config.name, listen = %listener.local_addr()?, "serving");
-    if let Some(bound) = bound {
-        tracing::info!(listen = %bound.local_addr()?, "serving extended queries");
-        let messages = messages.clone();
-        spawn("accept", move || accept(&bound, true, &messages))?;
+    tracing::info!(name = config.name, listen = %listen_at, "serving");
+    if let Some(at) = extended_at {
+        tracing::info!(listen = %at, "serving extended queries");
     }
-    spawn("accept", move || accept(&listener, false, &messages))?;
+    spawn("clients", move || reception.run())?;
     host.run(&inbox);
     tracing::info!("ended");
     Ok(())
 }
 
-/// Tells a client that there is no room: nothing has run. It is not waited for.
-fn turn_away(mut stream: TcpStream) {
-    let mut bytes = Vec::new();
-    crate::pg::put_error(&mut bytes, "FATAL", crate::pg::TOO_MANY, "too many clients", None);
-    let _ = stream.set_nonblocking(true);
-    let _ = std::io::Write::write(&mut stream, &bytes);
-}
-
 fn signals(messages: Messages) -> std::io::Result<()> {
     use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
@@ -140,24 +140,6 @@
     })
 }
 
-fn accept(listener: &TcpListener, extended: bool, messages: &Messages) {
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                if messages.send(Message::Accepted(stream, extended)).is_err() {
-                    return;
-                }
-            }
-            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-            Err(e) => {
-                // Guards against a full table of descriptors: the connection waits in the backlog.
-                tracing::warn!(error = %e, "no connection accepted");
-                std::thread::sleep(Duration::from_millis(5));
-            }
-        }
-    }
-}
-
 struct Host {
     clock: Clock,
     core: Core<Work, Answer>,
@@ -167,11 +149,10 @@
     settings: Arc<Settings>,
     store: Store,
     messages: Messages,
-    writers: client::Writers,
+    ender: client::Ender,
     written: Receiver<()>,
     links: HashMap<LinkId, link::Handle>,
     clients: HashMap<ClientId, client::Handle>,
-    last_client: ClientId,
     most_clients: usize,
     seed: u64,
     ready_at: Option<Micros>,
@@ -230,11 +211,11 @@
         }
     }
 
-    /// Lets the writers finish: a client's thread drops its stream once all is written.
+    /// Lets clients take what is still to be written.
     fn linger(&mut self) {
         self.clients.clear();
-        self.writers.alive = bounded(0).0;
-        // Ends at once when the last writer has gone: nothing is ever sent here.
+        self.ender.end();
+        // Ends at once when the last connection has gone: nothing is ever sent here.
         let _ = self.written.recv_timeout(LAST_WRITES);
     }
 
@@ -263,7 +244,7 @@
                     self.core(now, Input::List { full: true, members: list.members() });
                 }
             }
-            Message::Accepted(stream, extended) => self.accepted(now, stream, extended),
+            Message::Accepted(id, handle) => self.accepted(now, id, handle),
             Message::Extended(id, said) => {
                 if let Some(postgres) = &mut self.postgres {
                     let outs = postgres.said(&mut self.desk, now, id, said);
@@ -309,28 +290,16 @@
         }
     }
 
-    fn accepted(&mut self, now: Micros, stream: TcpStream, extended: bool) {
-        if self.clients.len() >= self.most_clients {
-            let idle = self.platform.evict().or_else(|| self.postgres.as_mut()?.evict());
-            let Some(out) = idle else {
-                tracing::warn!("no room for another client");
-                turn_away(stream);
-                return;
-            };
-            self.carry_out(now, vec![out]);
-        }
-        self.last_client += 1;
-        let id = self.last_client;
-        let dialect = if extended {
-            client::Dialect::Postgres
-        } else {
-            client::Dialect::Platform(self.settings.clone())
-        };
-        let (messages, writers) = (self.messages.clone(), self.writers.clone());
-        let Some(handle) = client::Handle::open(id, stream, dialect, self.clock, messages, writers) else {
-            tracing::warn!("no thread for another client");
+    fn accepted(&mut self, now: Micros, id: ClientId, handle: client::Handle) {
+        if self.clients.len() >= self.most_clients && !self.evict(now) {
+            tracing::debug!("no room for another client");
+            // Nothing has run: it is told so and not waited for.
+            let mut bytes = Vec::new();
+            crate::pg::put_error(&mut bytes, "FATAL", crate::pg::TOO_MANY, "too many clients", None);
+            handle.write(bytes);
             return;
-        };
+        }
+        let extended = handle.extended;
         self.clients.insert(id, handle);
         let secret = crate::pg::statement::hash(&[self.seed.to_be_bytes(), id.to_be_bytes()].concat()) as u32;
         let outs = match &mut self.postgres {
@@ -340,6 +309,24 @@
         self.carry_out(now, outs);
     }
 
+    /// Makes room for a client: guards against connections that say nothing, or are kept for good, crowding
+    /// out those that ask.
+    fn evict(&mut self, now: Micros) -> bool {
+        let idlest = [self.platform.idlest(now), self.postgres.as_ref().and_then(|p| p.idlest(now))];
+        idlest.into_iter().flatten().max().is_some_and(|(_, id)| self.retire(id))
+    }
+
+    /// Closes a connection between requests; `false` if another request is on its way.
+    fn retire(&mut self, id: ClientId) -> bool {
+        let retired = self.clients.get(&id).is_some_and(client::Handle::retire);
+        if retired {
+            self.clients.remove(&id);
+            self.platform.forget(id);
+            self.postgres.iter_mut().for_each(|p| p.forget(id));
+        }
+        retired
+    }
+
     fn carry_out(&mut self, now: Micros, outs: Vec<Out>) {
         for out in outs {
             match out {
@@ -351,6 +338,7 @@
                     }
                 }
                 Out::Close(id) => drop(self.clients.remove(&id)),
+                Out::Retire(id) => drop(self.retire(id)),
                 Out::Credit(id) => {
                     if let Some(client) = self.clients.get(&id) {
                         client.credit();
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -76,6 +76,13 @@
         got.map(|n| n > 0)
     }
 
+    /// Takes over bytes that were read elsewhere.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.start);
+        self.start = 0;
+        self.buffer.extend_from_slice(bytes);
+    }
+
     /// Bytes that have come and were not taken yet.
     pub fn rest(&self) -> &[u8] {
         &self.buffer[self.start..]
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -16,8 +16,8 @@
     pub after: Option<u64>,
     /// `r=1`: a client's retry.
     pub repeat: bool,
-    /// `id`, present or not.
-    pub id: bool,
+    /// `id`.
+    pub id: Option<&'a [u8]>,
     /// The first quoted literal.
     pub key: Option<&'a [u8]>,
     /// Where the comment's fields begin and end.
@@ -26,7 +26,54 @@
 
 /// A number without sign that fits.
 pub fn number(text: &[u8]) -> Option<u64> {
-    std::str::from_utf8(text).ok()?.parse().ok()
+    let digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(text).ok().filter(|_| digits)?.parse().ok()
+}
+
+/// Whether a text is one whole statement whose one comment, at its end, can be read: what members can't read
+/// is not sent on, as they would close on it whatever else waits there.
+pub fn sound(text: &[u8]) -> Result<(), &'static str> {
+    if text.iter().any(|b| b.is_ascii_control() && !b.is_ascii_whitespace()) {
+        return Err("control characters in the statement");
+    }
+    let (mut at, mut comment) = (0, None);
+    while at < text.len() {
+        match text[at] {
+            quote @ (b'\'' | b'"') => {
+                let end = text[at + 1..].iter().position(|b| *b == quote);
+                at += end.ok_or("a literal without an end")? + 1;
+            }
+            b'/' if text.get(at + 1) == Some(&b'*') => {
+                let end = text[at + 2..].windows(2).position(|w| w == b"*/");
+                let end = at + 2 + end.ok_or("a comment without an end")?;
+                if comment.replace(at + 2..end).is_some() {
+                    return Err("more than one comment");
+                }
+                at = end + 1;
+            }
+            b';' => return Err("one statement a query, without a semicolon"),
+            b if comment.is_some() && !b.is_ascii_whitespace() => return Err("something behind the comment"),
+            b'-' if text.get(at + 1) == Some(&b'-') => return Err("a comment of another kind"),
+            _ => {}
+        }
+        at += 1;
+    }
+    let comment = comment.ok_or("a statement without a comment")?;
+    let mut names = Vec::new();
+    for pair in text[comment].split(|b| *b == b',') {
+        let mut parts = pair.splitn(2, |b| *b == b'=');
+        let name = parts.next().unwrap_or_default().trim_ascii();
+        let value = parts.next().ok_or("a name without a value in the comment")?.trim_ascii();
+        let known = matches!(name, b"id" | b"c" | b"d" | b"cluster" | b"after" | b"r");
+        if known && names.contains(&name) {
+            return Err("a name twice in the comment");
+        }
+        if matches!(name, b"d" | b"cluster" | b"after" | b"r") && number(value).is_none() {
+            return Err("a value that is no number in the comment");
+        }
+        names.push(name);
+    }
+    Ok(())
 }
 
 /// Reads the statement once, left to right: literals first, so that nothing within them passes for a comment.
@@ -70,7 +117,7 @@
         let lead = pair[eq + 1..].len() - pair[eq + 1..].trim_ascii_start().len();
         let value_at = start + eq + 1 + lead;
         match name {
-            b"id" => found.id = !value.is_empty(),
+            b"id" => found.id = Some(value),
             b"c" => found.class = Some(value),
             b"d" => found.wait = number(value).map(|d| (d, value_at..value_at + value.len())),
             b"cluster" => found.group = number(value).and_then(|g| u32::try_from(g).ok()),
@@ -152,7 +199,8 @@
         assert_eq!(f.class, Some(&b"basket"[..]));
         let (wait, place) = f.wait.unwrap();
         assert_eq!((wait, &READ[place]), (480, &b"480"[..]));
-        assert_eq!((f.group, f.after, f.id, f.repeat), (Some(2), Some(1_767_225_600_123), true, false));
+        assert_eq!((f.group, f.after, f.repeat), (Some(2), Some(1_767_225_600_123), false));
+        assert_eq!((f.id, sound(READ)), (Some(&b"9b1f03aa5c7e2d41"[..]), Ok(())));
         assert_eq!(session(f.key.unwrap()), 0x7f3a_9c21_e0b4_d655);
     }
 
@@ -171,6 +219,31 @@
         assert!(!several(b"SELECT ';x' /* ; y */ ; -- z") && !several(b"';") && !several(b""));
     }
 
+    #[test]
+    fn what_members_could_not_read_is_not_sound() {
+        let whole = b"SELECT 1 /* id=1,d=2 */";
+        assert_eq!(sound(whole), Ok(()));
+        for cut in 0..whole.len() {
+            assert!(sound(&whole[..cut]).is_err(), "cut at {cut}");
+        }
+        for text in [
+            "SELECT 1; SELECT 2 /* id=1 */",
+            "SELECT 1 /* id=1 */ /* id=2 */",
+            "SELECT 1 /* id=1 */ SELECT 2",
+            "SELECT 1 -- x\n /* id=1 */",
+            "SELECT 'x /* id=1 */",
+            "SELECT 1 /* id=1,id=2 */",
+            "SELECT 1 /* id=1,d=-5 */",
+            "SELECT 1 /* id=1,after=1e9 */",
+            "SELECT 1 /* id=1,cluster=+2 */",
+            "SELECT 1 /* id=1,d=99999999999999999999 */",
+            "SELECT 1 /* id */",
+            "SELECT \x07 /* id=1 */",
+        ] {
+            assert!(sound(text.as_bytes()).is_err(), "{text}");
+        }
+    }
+
     #[test]
     fn what_is_missing_or_cut_stays_unset() {
         for text in [&b""[..], b"/*", b"'", b"/* c", b"/* d=x,cluster=-1 */", b"/* d=99999999999999999999 */"]
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -279,6 +279,101 @@
     assert!(asked.elapsed() > Duration::from_millis(700));
 }
 
+/// Guards against clients that send what no member could read: each gets an error, and members never see it.
+#[test]
+fn what_cannot_be_read_gets_an_error_and_never_reaches_a_member() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let mut client = proxy.client();
+    let good = read(1);
+    for (from, to) in [
+        (" */", ""),
+        ("/* id", "id"),
+        ("id=1", "id="),
+        ("id=1,", ""),
+        ("d=900", "d=-900"),
+        ("d=900", "d=0"),
+        ("d=900", "d=99999999999"),
+        ("d=900", "d=900,after=99999999999999999999999"),
+        ("d=900", "d=900,d=800"),
+        ("cluster=2", "cluster=4294967296"),
+        ("SELECT", "SELECT 1; SELECT"),
+        ("SELECT", "DELETE"),
+        ("c=any", "c=write"),
+        ("'", ""),
+        ("d655'", "d655"),
+    ] {
+        assert_eq!(client.query(&good.replace(from, to)), "E(08P01) Z", "{from} -> {to}");
+    }
+    assert_eq!(client.query(&good.replace("cluster=2", "cluster=77")), "E(53300) Z", "nobody has that group");
+    assert_eq!(primary.log().len(), 0);
+    assert_eq!(client.query(&good), "T D(value) C Z");
+}
+
+/// Guards against an answer that would be taken for that of another client's request.
+#[test]
+fn the_id_of_an_open_request_gets_an_error() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut client = proxy.client();
+    client.send(&simple(&write(7, 600)));
+    primary.wait("hang");
+    let mut other = proxy.client();
+    assert_eq!(other.query(&write(7, 900)), "E(08P01) Z");
+    assert_eq!(client.answer(), "E(08007) Z");
+    assert_eq!(other.query(&write(7, 900)), "T D(value) C Z", "it is free again");
+    assert_eq!(primary.runs(), 2);
+}
+
+/// Guards against clients that open, or begin a message, and say no more.
+#[test]
+fn silence_and_half_a_message_end_in_an_error_or_a_close() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let begun = Instant::now();
+    let mut kept = proxy.client();
+    assert_eq!(kept.query(&read(1)), "T D(value) C Z");
+    let sent: [&[u8]; 4] =
+        [b"", &startup()[..9], &startup(), &[startup(), b"Q\0\0\0\x40SELECT".to_vec()].concat()];
+    let mut bad: Vec<_> = sent.iter().map(|_| Client::raw(proxy.address)).collect();
+    bad.iter_mut().zip(sent).for_each(|(client, bytes)| client.send(bytes));
+    let mut idle = proxy.extended();
+    for client in &mut bad {
+        let said = client.answers(|_| false);
+        assert!(said.ends_with("E(08P01) end"), "{said}");
+    }
+    assert_eq!(idle.answers(|_| false), "E(08P01) end");
+    assert!(begun.elapsed() < Duration::from_secs(3));
+    assert_eq!(kept.query(&read(2)), "T D(value) C Z", "who has asked may stay");
+}
+
+/// Guards against idle and silent connections that take all the room there is for clients.
+#[test]
+fn a_crowd_makes_room_for_who_asks() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_in(&[&primary], "exec \"$0\" serve", "", "\"sockets\":64,\"memory_mb\":32");
+    let mut kept: Vec<_> = (0..10).map(|_| proxy.client()).collect();
+    kept.iter_mut().for_each(|client| assert_eq!(client.query(&read(1)), "T D(value) C Z"));
+    let mut asked = 0;
+    for _ in 0..4 {
+        let mut silent: Vec<_> = (0..30).map(|_| Client::raw(proxy.address)).collect();
+        let begun = Instant::now();
+        // One may be turned away while all the silent ones are too new to be told from those that ask.
+        while begun.elapsed() < Duration::from_secs(2) {
+            let mut client = Client::raw(proxy.address);
+            client.send(&[startup(), simple(&read(2))].concat());
+            if client.answers(|tag| tag == b'Z').ends_with("Z") && client.answer() == "T D(value) C Z" {
+                asked += 1;
+                break;
+            }
+        }
+        silent.iter_mut().for_each(|c| drop(c.answers(|_| false)));
+    }
+    assert_eq!(asked, 4);
+    assert_eq!(proxy.client().query(&read(3)), "T D(value) C Z");
+}
+
 #[test]
 fn few_descriptors_are_survived() {
     let primary = Server::start(true);
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -355,6 +355,11 @@
     /// The same by this shell command: `$0` is the program, `$1` the file of the extended listener, `$2` a file
     /// with this text.
     pub fn start_by(servers: &[&Server], shell: &str, file: &str) -> Proxy {
+        Proxy::start_in(servers, shell, file, "\"sockets\":1024")
+    }
+
+    /// The same within these limits.
+    pub fn start_in(servers: &[&Server], shell: &str, file: &str, limits: &str) -> Proxy {
         let targets: Vec<_> = servers.iter().enumerate().map(|(n, s)| target(n, s, "SERVING")).collect();
         let list = whole(1, &targets);
         // Without members, discovery is down: it takes a watch and says nothing.
@@ -365,7 +370,8 @@
         let folder = std::env::temp_dir().join(format!("liftrelay-{}-{count}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let (config, postgres) = (folder.join("config.json"), folder.join("postgres.toml"));
-        std::fs::write(&config, configuration(&discovery)).unwrap();
+        let text = configuration(&discovery).replace("\"sockets\":1024", limits);
+        std::fs::write(&config, text).unwrap();
         let text = "listen = '127.0.0.1:0'\nread_class = 'own'\nwrite_class = 'write'\ngroup = 2\n\
             wait_ms = 3000\nsession_parameter = 1\nstatements = 3\n";
         std::fs::write(&postgres, text).unwrap();
