Serve on until shortly before SIGKILL; a primary that errs keeps its writes

Checked: the log shows the primary "set aside: errors" from 1.2 s on, while it answers: choose_primary in balance.rs then lets one write through in 0.8 to 1.6 s, and no other member takes them. A probe on the loop counts 320 commands a second until 1.0 s after SIGTERM and none after, on connections that CLOSE_AFTER (0.45 s) used to close. Ruled out: the restart (ready at once), the watch (followed each time).

Now: connections are closed between requests from 0.9 s before SIGKILL can come; what is owed 0.25 s before it gets its answer, and requests taken meanwhile are given that deadline. Errors alone do not set a primary aside.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -90,6 +90,7 @@
 const ASK_AGAIN: Micros = 1_000_000;
 /// One line for a member in this span.
 const LOG_SPAN: Micros = 1_000_000;
+const ERRORS: &str = "errors";
 const TICK: u32 = 0;
 const ASK: u32 = 1;
 
@@ -287,10 +288,8 @@
                 Some(&s) => s,
                 None => {
                     let s = self.servers.len();
-                    let (probe_at, turn) = (
-                        now + self.random(PROBE_MIN * Micros::from(self.cfg.instances)),
-                        self.random(TURN_START),
-                    );
+                    let probe_at = now + self.random(PROBE_MIN * Micros::from(self.cfg.instances));
+                    let turn = self.random(TURN_START);
                     self.index.insert(m.server, s);
                     self.servers.push(Server {
                         id: m.server,
@@ -394,11 +393,12 @@
     /// against black holes, dead machines and fast failers, which all look idle to a pending count. Hurts
     /// where a loaded member only looks silent, as then the others take its share.
     fn fault(&mut self, s: usize, bad: f64, gain: f64, why: &str, out: &mut Vec<Action>) {
-        let now = self.now;
+        let (now, needed) = (self.now, why == ERRORS && self.part(s) == 1);
         let v = &mut self.servers[s];
         v.fault += (bad - v.fault) * gain;
         self.fault_all += (bad - self.fault_all) * FAULT_GAIN_ALL;
-        let sick = v.fault > FAULT_LIMIT + self.fault_all;
+        // A primary that errs now and then still does what no other can.
+        let sick = v.fault > FAULT_LIMIT + self.fault_all && !needed;
         if sick && bad > 0.0 {
             if !v.aside && now.saturating_sub(v.logged) > LOG_SPAN {
                 v.logged = now;
@@ -742,7 +742,7 @@
                 self.took(s, o, elapsed, true);
                 self.fault(s, 0.0, gain, "", out);
             }
-            Outcome::Error => self.fault(s, 1.0, gain, "errors", out),
+            Outcome::Error => self.fault(s, 1.0, gain, ERRORS, out),
             Outcome::Reset | Outcome::ConnectFailed => {
                 self.servers[s].down = true;
                 self.fault(s, 1.0, TRIAL_GAIN, "no connection", out);
@@ -775,11 +775,8 @@
         }
         if let Some(p) = self.requests.get_mut(&id) {
             p.flying = None;
-            if outcome == Outcome::Ok
-                && need == Need::Write
-                && self.cfg.remember_commits
-                && p.req.session != 0
-            {
+            let commit = outcome == Outcome::Ok && need == Need::Write && self.cfg.remember_commits;
+            if commit && p.req.session != 0 {
                 self.commits.insert(p.req.session, (group_id, note.position.unwrap_or(now)));
             }
             use Outcome::{ConnectFailed, Full, Miss, Moot};
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -110,6 +110,11 @@
         /// The link goes on.
         open: bool,
     },
+    /// The proxy ends by then: all that it owes is answered before.
+    Ending {
+        /// When.
+        by: Micros,
+    },
     /// Time has passed.
     Due,
 }
@@ -209,6 +214,8 @@
     last_job: JobId,
     pool: Pool,
     timers: Timers<Alarm>,
+    /// The proxy ends then.
+    end: Micros,
     effects: Vec<Effect<W, A>>,
 }
 
@@ -225,6 +232,7 @@
             last_job: 0,
             pool: Pool::new(links),
             timers,
+            end: Micros::MAX,
             effects: Vec::new(),
         }
     }
@@ -266,6 +274,14 @@
                     self.settle(now, job, Ending::plain(Outcome::Reset));
                 }
             }
+            Input::Ending { by } => {
+                self.end = by;
+                for held in self.requests.values_mut() {
+                    held.deadline = held.deadline.min(by);
+                }
+                let late = self.requests.iter().filter(|(_, held)| held.deadline == by);
+                late.for_each(|(id, _)| self.timers.set(by, Alarm::Deadline(*id)));
+            }
             Input::Abandoned { job, sent, open } => self.abandoned(now, job, sent, open),
             Input::Due => self.due_now(now),
         }
@@ -296,7 +312,8 @@
             return self.answer(id, Verdict::Refused { retry_after: 0 });
         }
         let (safe, once) = (class.effect == Repeats::Safe, class.effect == Repeats::Unsafe);
-        request.remaining = request.remaining.saturating_sub(MARGIN).max(1_000);
+        request.remaining = request.remaining.saturating_sub(MARGIN);
+        request.remaining = request.remaining.min(self.end.saturating_sub(now)).max(1_000);
         let deadline = now + request.remaining;
         self.requests.insert(id, Held { work, deadline, attempts: 0, safe, once, ran: false });
         self.timers.set(deadline + GUARD, Alarm::Deadline(id));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,9 +29,14 @@
 const SPARE: usize = 40;
 /// Without news of the list, the proxy is ready this long after its start.
 const READY_AFTER: Micros = 400_000;
-/// After SIGTERM: the front layer may send new connections for 0.4 s, so closing starts after it ...
-const CLOSE_AFTER: Micros = 450_000;
-/// ... and new connections are answered until this, at least.
+/// SIGKILL comes no earlier than the longest deadline, counted as this at most, and a bit more after SIGTERM.
+const LONGEST: Micros = 3_000_000;
+const KILL_AFTER: Micros = 700_000;
+/// Before SIGKILL: connections are closed between requests from here on ...
+const CLOSE_BEFORE: Micros = 900_000;
+/// ... and what is still owed fails here.
+const FAIL_BEFORE: Micros = 250_000;
+/// New connections are answered for this long after SIGTERM at least, even if there are no clients.
 const SERVE_FOR: Micros = 900_000;
 /// How often the loop looks whether all is done after SIGTERM.
 const LOOK: Micros = 20_000;
@@ -195,15 +200,20 @@
                 self.ready(now);
             }
             if let Some((since, closing)) = self.ending {
-                // A connection that came late and says nothing is closed at the end, too.
-                if (!closing && now >= since + CLOSE_AFTER) || now >= since + SERVE_FOR {
-                    self.ending = Some((since, true));
+                let close = (self.kill_after() - CLOSE_BEFORE).max(SERVE_FOR);
+                // From then on at each look: a connection that came late and says nothing is closed, too.
+                if now >= since + close {
+                    if !closing {
+                        self.ending = Some((since, true));
+                        tracing::info!("closing connections between requests");
+                    }
                     let mut outs = self.platform.close();
                     outs.extend(self.postgres.iter_mut().flat_map(Lobby::close));
                     self.carry_out(now, outs);
                 }
                 let open = self.platform.open() + self.postgres.as_ref().map_or(0, Lobby::open);
-                if now >= since + SERVE_FOR && open == 0 && self.core.owed() == 0 {
+                let done = open == 0 && self.core.owed() == 0;
+                if now >= since + SERVE_FOR && (done || now >= since + self.kill_after() - FAIL_BEFORE / 2) {
                     self.linger();
                     return;
                 }
@@ -211,6 +221,13 @@
         }
     }
 
+    /// When SIGKILL may come after SIGTERM. Guards against being down for longer than a restart takes: until
+    /// shortly before it, the connections that are open are served.
+    fn kill_after(&self) -> Micros {
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        longest.min(LONGEST) + KILL_AFTER
+    }
+
     /// Lets clients take what is still to be written.
     fn linger(&mut self) {
         self.clients.clear();
@@ -256,8 +273,12 @@
                 self.carry_out(now, outs);
             }
             Message::Terminate => {
-                tracing::info!("told to end");
-                self.ending.get_or_insert((now, false));
+                if self.ending.is_none() {
+                    tracing::info!("told to end");
+                    self.ending = Some((now, false));
+                    let by = now + self.kill_after() - FAIL_BEFORE;
+                    self.core(now, Input::Ending { by });
+                }
             }
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -71,6 +71,23 @@
     }
 }
 
+/// Guards against holding writes back from the only member that takes them, because some of them fail there.
+#[test]
+fn a_primary_that_errs_now_and_then_keeps_its_writes() {
+    let mut rig = Rig::known(settings(), 3);
+    for id in 1..60 {
+        assert_eq!(sent(&rig.ask(id, UNSAFE)), Some(1), "{id}");
+        let outcome = if id % 2 == 0 { Outcome::Ok } else { Outcome::Error };
+        rig.end(id, 0, 1, outcome, None);
+        // The others do well: the primary's failures stand out.
+        for read in [1000 + 2 * id, 1001 + 2 * id] {
+            let to = sent(&rig.ask(read, ANY)).unwrap();
+            rig.end(read, 0, to, Outcome::Ok, None);
+        }
+        rig.pass(50 * MS);
+    }
+}
+
 #[test]
 fn a_black_hole_is_seen_and_its_reads_go_elsewhere() {
     let mut rig = Rig::known(settings(), 4);
