Give a cold member 0.4 instead of 0.25 of what would knock it over

Ruled out: trials (they are not set aside then) and links.

The share keeps a cold member's three seconds under 1.5 of its capacity where all are full.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,7 +64,7 @@
 const WINDOW_USED: f64 = 0.95;
 const WINDOW_TRY: f64 = 0.5;
 /// A cold member gets this share of what would knock it over, were warm ones full with what they serve now.
-const COLD_SHARE: f64 = 0.25;
+const COLD_SHARE: f64 = 0.4;
 /// Part of the window in which it can be knocked over for which work is saved up.
 const COLD_SAVED: f64 = 0.5;
 /// Share of the limit that the cheapest and the dearest work may use.
