Forget members that are long gone

Now: the place of a member that is gone and has answered nothing for 10 s is used for the next new one, and the pool drops its place after 30 s. Both keep it for a while, as a list may be wrong.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,8 +9,7 @@
 
 /// Batches between two runs of the periodic work (held requests, probes).
 const TICK_BATCHES: u64 = 4;
-/// Shortest span between two runs of the periodic work.
-const TICK_MIN: Micros = 10_000;
+const TICK_MIN: Micros = 10_000; // Shortest span between two runs of the periodic work.
 /// Answers averaged for one reading of a class's unloaded time.
 const BASE_WINDOW: u32 = 24;
 /// Part of a faster and of a slower reading that is taken over: load must not pass for the norm.
@@ -53,8 +52,7 @@
 /// Further attempts allowed for each request, and the span of requests for which they are saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SPAN: f64 = 1.0;
-/// Wait between two rounds of asking members in turn for the primary.
-const ROUND_WAIT: Micros = 100_000;
+const ROUND_WAIT: Micros = 100_000; // Wait between two rounds of asking members in turn for the primary.
 /// Probes for each request, and the least span between two probes of a member.
 const PROBE_SHARE: f64 = 0.5;
 const PROBE_MIN: Micros = 250_000;
@@ -72,24 +70,19 @@
 const ROOM_DEAR: f64 = 1.4;
 /// Chance that a client's repeat still meets the aim, which runs from its first try.
 const REPEAT_WORTH: f64 = 0.3;
-/// A read is long at this multiple of the lightest class.
-const LONG: f64 = 5.0;
+const LONG: f64 = 5.0; // A read is long at this multiple of the lightest class.
 /// A lag not seen again fades over this span: replicas catch up, and reports may be rare.
 const LAG_FADE: f64 = 3_000_000.0;
-/// Span of the moving rates.
-const RATE_SPAN: f64 = 3_000_000.0;
+const RATE_SPAN: f64 = 3_000_000.0; // Span of the moving rates.
 /// The list tells of a restart within this; until then a member that is back counts as just started.
 const UNTOLD: Micros = 4_000_000;
-/// A tick later than this means that the router itself stood still.
-const STALL: Micros = 100_000;
+const STALL: Micros = 100_000; // A tick later than this means that the router itself stood still.
 /// Remembered commits before the settled ones are dropped.
 const COMMITS_KEPT: usize = 20_000;
 /// Turns are drawn below this for members not sent to yet.
 const TURN_START: u64 = 1 << 16;
-/// Wait before the list is asked for again after a failure.
-const ASK_AGAIN: Micros = 1_000_000;
-/// One line for a member in this span.
-const LOG_SPAN: Micros = 1_000_000;
+const ASK_AGAIN: Micros = 1_000_000; // Wait before the list is asked for again after a failure.
+const FORGET: Micros = 10_000_000; // A member that is gone and silent for so long is forgotten.
 /// A member that answered nothing and refused connections over this span is down.
 const DEAD_AFTER: Micros = 50_000;
 const ERRORS: &str = "errors";
@@ -146,7 +139,6 @@
     cold_at: Micros,
     probe_at: Micros,
     probing: bool,
-    logged: Micros,
 }
 
 #[derive(Default)]
@@ -292,11 +284,20 @@
             let s = match self.index.get(&m.server) {
                 Some(&s) => s,
                 None => {
-                    let s = self.servers.len();
+                    // The place of one that is forgotten is used again: members may come and go for ever.
+                    let gone = |v: &Server| v.listed == Listed::Gone && now > v.last_answer + FORGET;
+                    let s = self.servers.iter().position(|v| gone(v) && v.out.is_empty());
+                    let s = s.unwrap_or(self.servers.len());
+                    self.servers.resize_with(self.servers.len().max(s + 1), Server::default);
+                    self.index.remove(&self.servers[s].id);
+                    for g in self.groups.values_mut() {
+                        g.members.retain(|m| *m != s);
+                        g.primary = g.primary.filter(|p| *p != s);
+                    }
                     let probe_at = now + self.random(PROBE_MIN * Micros::from(self.cfg.instances));
                     let turn = self.random(TURN_START);
                     self.index.insert(m.server, s);
-                    self.servers.push(Server {
+                    self.servers[s] = Server {
                         id: m.server,
                         group: m.group,
                         started: m.started,
@@ -307,7 +308,7 @@
                         probe_at,
                         turn,
                         ..Server::default()
-                    });
+                    };
                     s
                 }
             };
@@ -404,8 +405,7 @@
         // A primary that errs now and then still does what no other can.
         let sick = v.fault > FAULT_LIMIT + self.fault_all && !needed;
         if sick && bad > 0.0 {
-            if !v.aside && now.saturating_sub(v.logged) > LOG_SPAN {
-                v.logged = now;
+            if !v.aside {
                 out.push(Action::Log(format!("member {:012x} set aside: {why}", v.id.0)));
             }
             v.aside = true;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -272,7 +272,8 @@
                 }
             }
             Input::List { full, members } => {
-                self.pool.listed(full, &members, &mut |link| self.effects.push(Effect::Close(link)));
+                let close = &mut |link| self.effects.push(Effect::Close(link));
+                self.pool.listed(now, full, &members, close);
                 let members = members.into_iter().map(|(m, _)| m).collect();
                 self.tell(now, Event::List { full, members });
             }
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -19,8 +19,13 @@
     address: Option<SocketAddr>,
     /// Idle links, the one used last at the end: it is the next.
     idle: Vec<LinkId>,
+    /// It is listed as gone, since then.
+    gone: Option<Micros>,
 }
 
+/// A member that is gone for so long is forgotten.
+const FORGET: Micros = 30_000_000;
+
 /// The books.
 pub struct Pool {
     most: usize,
@@ -46,7 +51,13 @@
     }
 
     /// Takes over addresses; idle links to members that went, drain or moved are closed.
-    pub fn listed(&mut self, full: bool, members: &[(Member, SocketAddr)], close: &mut dyn FnMut(LinkId)) {
+    pub fn listed(
+        &mut self,
+        now: Micros,
+        full: bool,
+        members: &[(Member, SocketAddr)],
+        close: &mut dyn FnMut(LinkId),
+    ) {
         for (member, address) in members {
             self.places.entry(member.server).or_default().address = Some(*address);
         }
@@ -62,6 +73,16 @@
                 keep
             });
         }
+        // Members that are gone leave nothing behind in the end: new ones come under new ids for ever. For a
+        // while they do, as a list may be wrong.
+        for (server, place) in &mut self.places {
+            match members.iter().find(|(m, _)| m.server == *server) {
+                Some((member, _)) if member.listed != Listed::Gone => place.gone = None,
+                None if !full => {}
+                _ => place.gone = place.gone.or(Some(now)),
+            }
+        }
+        self.places.retain(|_, place| place.gone.is_none_or(|since| now < since + FORGET));
     }
 
     /// The warmest idle link, or a new one where there is room.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -332,3 +332,33 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Guards against a router that grows with every member that ever was, and one that mixes a new member up with
+/// the old one whose place it takes.
+#[test]
+fn members_that_come_and_go_leave_nothing_behind() {
+    let mut rig = Rig::known(settings(), 3);
+    let time = |rig: &mut Rig, from: u32| {
+        let round = |from: u32| {
+            let begun = std::time::Instant::now();
+            for id in from..from + 500 {
+                let to = sent(&rig.ask(id, ANY)).unwrap();
+                rig.end(id, 0, to, Outcome::Ok, None);
+            }
+            begun.elapsed()
+        };
+        (0..5).map(|n| from + n * 500).map(round).min().unwrap()
+    };
+    let before = time(&mut rig, 10_000);
+    let gone = |n| Member { listed: Listed::Gone, ..member(n) };
+    for n in 4..1_000 {
+        rig.event(Event::List { full: false, members: vec![gone(n - 1), member(n)] });
+        rig.report(n, Role::Replica, rig.now);
+        rig.pass(11_000 * MS);
+        let to = sent(&rig.ask(n as u32, ANY)).unwrap();
+        assert!(to <= 2 || to == n, "{to} is gone");
+        rig.end(n as u32, 0, to, Outcome::Ok, None);
+    }
+    let after = time(&mut rig, 100_000);
+    assert!(after < 3 * before, "{before:?} for 500 requests, {after:?} behind 1,000 members that are gone");
+}
