Let connections that never asked make room after 0.2 s; spoilt answers on the extended front tested

Lobby::idlest spared connections that had greeted and never asked for 2 s, as if they had been served.

Now: only who has asked for something is spared for 2 s.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -13,8 +13,8 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::ops::Range;
 
-/// A connection may be closed to make room when it has been idle this long, or has opened with nothing for
-/// this long.
+/// A connection may be closed to make room when it has been idle this long, or has asked for nothing for this
+/// long since it came.
 const IDLE: Micros = 2_000_000;
 const SILENT: Micros = 200_000;
 
@@ -168,7 +168,8 @@
 
 struct Client<T: Talk> {
     secret: u32,
-    greeted: bool,
+    /// It has asked for something that a member serves.
+    asked: bool,
     queue: VecDeque<T::Command>,
     busy: Option<RequestId>,
     /// When it came, or its last answer was given: the time of a request that waited its turn counts from
@@ -219,13 +220,13 @@
     }
 
     /// The connection that can best be closed to make room: one that has said nothing, or the one that was
-    /// idle longest, if that is long enough. With how long that is.
-    pub fn idlest(&self, now: Micros) -> Option<(Micros, ClientId)> {
+    /// idle longest, if that is long enough. With how well it can be closed.
+    pub fn idlest(&self, now: Micros) -> Option<(bool, Micros, ClientId)> {
         let idle = self.clients.iter().filter(|(_, c)| c.busy.is_none() && c.queue.is_empty());
         let long = idle.filter_map(|(id, c)| {
             let idle = now.saturating_sub(c.free_at);
-            let enough = idle >= if c.greeted { IDLE } else { SILENT };
-            enough.then_some((idle + if c.greeted { 0 } else { IDLE }, *id))
+            let enough = idle >= if c.asked { IDLE } else { SILENT };
+            enough.then_some((!c.asked, idle, *id))
         });
         long.max()
     }
@@ -240,7 +241,7 @@
         let mut out = Vec::new();
         if let Said::Connected { secret } = said {
             let (queue, session) = (VecDeque::new(), T::Session::default());
-            let client = Client { secret, greeted: false, queue, busy: None, free_at: now, session };
+            let client = Client { secret, asked: false, queue, busy: None, free_at: now, session };
             self.clients.insert(id, client);
             return out;
         }
@@ -249,7 +250,6 @@
             Said::Connected { .. } => {}
             Said::Opening(Opening::Encryption) => out.push(Out::Write(id, b"N".to_vec())),
             Said::Opening(Opening::Startup) => {
-                client.greeted = true;
                 let mut bytes = Vec::new();
                 pg::put_greeting(&mut bytes, id as u32, client.secret);
                 out.push(Out::Write(id, bytes));
@@ -322,7 +322,7 @@
                         out.push(Out::Credit(id));
                         continue;
                     };
-                    client.busy = Some(request);
+                    (client.busy, client.asked) = (Some(request), true);
                     let request = Request {
                         id: request,
                         class,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -334,7 +334,7 @@
     /// out those that ask.
     fn evict(&mut self, now: Micros) -> bool {
         let idlest = [self.platform.idlest(now), self.postgres.as_ref().and_then(|p| p.idlest(now))];
-        idlest.into_iter().flatten().max().is_some_and(|(_, id)| self.retire(id))
+        idlest.into_iter().flatten().max().is_some_and(|(.., id)| self.retire(id))
     }
 
     /// Closes a connection between requests; `false` if another request is on its way.
--- a/tests/proxy/extended.rs
+++ b/tests/proxy/extended.rs
@@ -61,6 +61,25 @@
     }
 }
 
+/// Guards against spoilt answers and bytes behind an answer, as on the platform's front.
+#[test]
+fn spoilt_answers_and_leftovers_end_the_link_and_nothing_runs_twice() {
+    let (primary, replica, proxy) = pair();
+    let mut client = proxy.extended();
+    assert_eq!(ask(&mut client, &format!("{WRITE} | S")), "1 Z");
+    for (n, spoilt) in
+        [&b"noise"[..], b"D\xc0\0\0\0", b"D\0\0\0\x0f\0\x01\0\0\0\x09value"].into_iter().enumerate()
+    {
+        primary.plan(&[Does::Say(spoilt)]);
+        assert_eq!(ask(&mut client, "B - w | E - | S"), "E(08007) Z", "{n}");
+        assert_eq!(primary.runs() + replica.runs(), n + 1, "{n}");
+    }
+    primary.plan(&[Does::ServeAnd(b"C\0\0\0\x09DONE\0Z\0\0\0\x05I")]);
+    assert_eq!(ask(&mut client, "B - w | E - | S"), "2 D(value) C Z");
+    assert_eq!(ask(&mut client, "B - w | E - | S"), "2 D(value) C Z");
+    assert_eq!(primary.runs() + replica.runs(), 5);
+}
+
 #[test]
 fn a_read_cut_off_is_tried_again() {
     let (primary, replica, proxy) = pair();
