--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,9 +1,9 @@
 //! The clients' connections: one thread accepts and reads for all of them, and the loop writes. Neither
 //! decides anything.
 //!
-//! A thread or two for each client would be the plain way with blocking sockets. Measured with 170 of them, two
-//! thirds of a proxy's part of a core went into threads that were woken only to be stopped and continued with
-//! the process; so the sockets are non-blocking here, and `epoll` says which of them have something.
+//! A thread or two for each client would be the plain way with blocking sockets. Measured with 170 of them,
+//! two thirds of a proxy's part of a core went into threads that were woken only to be stopped and continued
+//! with the process; so the sockets are non-blocking here, and `epoll` says which of them have something.
 
 use super::clock::Clock;
 use super::{Message, Messages};
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -460,8 +460,8 @@
     }
 }
 
-/// An error that tells of the statement, not of the member: protocol, syntax, names, data, constraints, rights.
-/// Every member would give it, so it is the answer, and counts neither for nor against the member.
+/// An error that tells of the statement, not of the member: protocol, syntax, names, data, constraints,
+/// rights. Every member would give it, so it is the answer, and counts neither for nor against the member.
 fn is_the_statements(code: &[u8]) -> bool {
     let class = code.get(..2).unwrap_or_default();
     let classes = [b"0A", b"21", b"22", b"23", b"24", b"28", b"34", b"42", b"44", b"P0"];
