Let idle links hold no thread: a pool of workers carries jobs

Cause: net/link.rs kept a thread for each link, idle or not (Handle::open, Lane::run).

Now a job has a thread to itself and an idle link has none. The idle worker used last is the next, so the rest end after 1 s. An idle link's state waits in the link.

The test counts the threads of a proxy with 31 idle links and fails without.

--- a/src/front/unit.rs
+++ b/src/front/unit.rs
@@ -115,12 +115,6 @@
             self.bytes -= statement.sql.len();
         }
     }
-
-    /// The member has none of them.
-    pub fn clear(&mut self) {
-        self.names.clear();
-        self.bytes = 0;
-    }
 }
 
 enum Expect {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,4 +1,5 @@
-//! One connection to a member, on a thread of its own: a hung member stalls nothing but this thread.
+//! Connections to members. A job on one has a thread to itself: a hung member stalls nothing but that thread. An
+//! idle connection has none.
 
 use super::{Message, Messages, clock::from_unix_ms, spawn};
 use crate::core::{Ending, Input, Job, JobId, LinkId};
@@ -6,11 +7,11 @@
 use crate::front::{Answer, Work, millis};
 use crate::pg::{self, Frames};
 use crate::{Micros, Note, Outcome, Report, Role};
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::{Sender, bounded};
 use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// Where a job stands: the step from `WAITING` is taken once, by the link or by whoever withdraws it.
@@ -23,6 +24,9 @@
 /// A member that has not taken a Parse or a Bind by then is not waited for: nothing has run.
 const PREFACE_WAIT: Duration = Duration::from_millis(1000);
 
+/// A thread without a job ends after this.
+const UNUSED: Duration = Duration::from_secs(1);
+
 /// ENFILE and EMFILE.
 const OUT_OF_FILES: [Option<i32>; 2] = [Some(23), Some(24)];
 
@@ -31,34 +35,92 @@
 const DATABASE: &str = "orders";
 
 struct Order {
+    lane: Arc<Lane>,
     job: JobId,
     what: Job<Work>,
     state: Arc<AtomicU8>,
 }
 
+/// Threads that carry jobs, one at a time each. Guards against a thread for each idle link: hundreds of
+/// proxies on a machine, each with a link to most members, used up its thread numbers.
+#[derive(Clone, Default)]
+pub struct Workers {
+    /// Those without a job, the one that had one last at the end: it is the next, and the rest end in time.
+    idle: Arc<Mutex<Vec<(u64, Sender<Order>)>>>,
+    last: Arc<AtomicU64>,
+}
+
+impl Workers {
+    /// Hands over a job; `false` where there is no thread for it.
+    fn hand(&self, order: Order) -> bool {
+        let idle = self.idle().pop();
+        if let Some((_, worker)) = idle {
+            return worker.try_send(order).is_ok();
+        }
+        let (number, workers) = (self.last.fetch_add(1, Ordering::SeqCst), self.clone());
+        spawn("link", move || workers.work(number, order)).is_ok()
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<(u64, Sender<Order>)>> {
+        self.idle.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// A worker's life: jobs until none has come for a while.
+    fn work(self, number: u64, first: Order) {
+        let (sender, inbox) = bounded(1);
+        let mut order = first;
+        loop {
+            let lane = order.lane.clone();
+            let told = lane.carry(order);
+            // Before the loop hears of the end: what it sends on then finds this worker.
+            self.idle().push((number, sender.clone()));
+            told.into_iter().for_each(|input| lane.tell(input));
+            drop(lane);
+            order = match inbox.recv_timeout(UNUSED) {
+                Ok(next) => next,
+                Err(_) => {
+                    let mut idle = self.idle();
+                    let Some(at) = idle.iter().position(|(n, _)| *n == number) else {
+                        // It has been picked meanwhile: its job is on the way.
+                        drop(idle);
+                        let Ok(next) = inbox.recv() else { return };
+                        order = next;
+                        continue;
+                    };
+                    idle.remove(at);
+                    return;
+                }
+            };
+        }
+    }
+}
+
 /// The reducer's end of a link.
 pub struct Handle {
-    orders: Sender<Order>,
-    stream: Arc<Mutex<Option<Arc<TcpStream>>>>,
+    lane: Arc<Lane>,
+    workers: Workers,
     state: Arc<AtomicU8>,
     job: JobId,
 }
 
 impl Handle {
-    /// Starts a link; `None` where there is no thread for it.
-    pub fn open(link: LinkId, address: SocketAddr, dial: Duration, messages: Messages) -> Option<Handle> {
-        let (orders, inbox) = bounded(1);
-        let stream = Arc::new(Mutex::new(None));
-        let slot = stream.clone();
-        let lane = Lane { link, address, dial, messages, slot };
-        spawn("link", move || lane.run(&inbox)).ok()?;
-        Some(Handle { orders, stream, state: Arc::new(AtomicU8::new(WITHDRAWN)), job: 0 })
+    /// Prepares a link: its first job opens it.
+    pub fn open(
+        link: LinkId,
+        address: SocketAddr,
+        dial: Duration,
+        messages: Messages,
+        workers: &Workers,
+    ) -> Handle {
+        let (slot, seat) = (Mutex::new(None), Mutex::new(Some(Seat::default())));
+        let lane = Arc::new(Lane { link, address, dial, messages, slot, seat });
+        Handle { lane, workers: workers.clone(), state: Arc::new(AtomicU8::new(WITHDRAWN)), job: 0 }
     }
 
-    /// Hands over a job; `false` if the link is no more.
+    /// Hands over a job; `false` if the link can't take it.
     pub fn carry(&mut self, job: JobId, what: Job<Work>) -> bool {
         (self.state, self.job) = (Arc::new(AtomicU8::new(WAITING)), job);
-        self.orders.try_send(Order { job, what, state: self.state.clone() }).is_ok()
+        self.workers.hand(Order { lane: self.lane.clone(), job, what, state: self.state.clone() })
     }
 
     /// Withdraws a job: whether it may have been sent, and whether the link goes on. If not, it is cut.
@@ -73,7 +135,7 @@
 
     /// Ends the connection, whatever it is doing.
     pub fn cut(&self) {
-        let slot = self.stream.lock().unwrap_or_else(|e| e.into_inner());
+        let slot = self.lane.slot.lock().unwrap_or_else(|e| e.into_inner());
         if let Some(stream) = slot.as_ref() {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -90,9 +152,20 @@
     address: SocketAddr,
     dial: Duration,
     messages: Messages,
-    slot: Arc<Mutex<Option<Arc<TcpStream>>>>,
+    /// The present connection, for whoever cuts it.
+    slot: Mutex<Option<Arc<TcpStream>>>,
+    /// What belongs to the connection, here while no job is under way.
+    seat: Mutex<Option<Seat>>,
+}
+
+#[derive(Default)]
+struct Seat {
+    connection: Option<Connection>,
+    catalogue: Catalogue,
 }
 
+type Connection = (Arc<TcpStream>, Frames);
+
 /// What became of a query.
 struct Reply {
     ending: Ending<Answer>,
@@ -106,69 +179,70 @@
 }
 
 impl Lane {
-    fn run(self, inbox: &Receiver<Order>) {
-        let mut connection = self.connect();
-        let mut catalogue = Catalogue::default();
-        let mut used = false;
-        while let Ok(order) = inbox.recv() {
-            if order.state.load(Ordering::SeqCst) == WITHDRAWN {
-                if connection.is_err() {
-                    break;
-                }
-                self.tell(Input::Idle(self.link));
-                continue;
+    /// Carries a job, and returns what the loop is to be told.
+    fn carry(&self, order: Order) -> Vec<Input<Work, Answer>> {
+        let seat = self.seat.lock().unwrap_or_else(|e| e.into_inner()).take();
+        let mut told = Vec::new();
+        if let Some(seat) = seat.and_then(|seat| self.job(seat, order, &mut told)) {
+            *self.seat.lock().unwrap_or_else(|e| e.into_inner()) = Some(seat);
+        } else {
+            *self.slot.lock().unwrap_or_else(|e| e.into_inner()) = None;
+            told.push(Input::Closed(self.link));
+        }
+        told
+    }
+
+    /// The link goes on with what is returned.
+    fn job(&self, mut seat: Seat, order: Order, told: &mut Vec<Input<Work, Answer>>) -> Option<Seat> {
+        if order.state.load(Ordering::SeqCst) == WITHDRAWN {
+            told.push(Input::Idle(self.link));
+            return Some(seat);
+        }
+        // Guards against a connection that the member closed while it was idle: writing to it would
+        // count as sent. It is opened anew, and the job has not run.
+        if seat.connection.as_ref().is_some_and(|(stream, _)| gone(stream)) {
+            seat = Seat::default();
+        }
+        let check = matches!(&order.what, Job::Attempt { check: true, .. });
+        if check && let Some((stream, frames)) = &mut seat.connection {
+            if !step(&order.state, WAITING, PREFACE) {
+                told.push(Input::Idle(self.link));
+                return Some(seat);
             }
-            // Guards against a connection that the member closed while it was idle: writing to it would
-            // count as sent. It is opened anew, and the job has not run.
-            if used && connection.as_ref().is_ok_and(|(stream, _)| gone(stream)) {
-                connection = self.connect();
-                catalogue.clear();
+            let _ = stream.set_read_timeout(Some(self.dial));
+            let alive = answers(stream, frames);
+            let _ = stream.set_read_timeout(None);
+            // Withdrawn meanwhile, which cuts the connection: nothing has run.
+            if !step(&order.state, PREFACE, WAITING) {
+                return None;
             }
-            let check = matches!(&order.what, Job::Attempt { check: true, .. });
-            if used
-                && check
-                && let Ok((stream, frames)) = &mut connection
-            {
-                if !step(&order.state, WAITING, PREFACE) {
-                    self.tell(Input::Idle(self.link));
-                    continue;
-                }
-                let _ = stream.set_read_timeout(Some(self.dial));
-                let alive = answers(stream, frames);
-                let _ = stream.set_read_timeout(None);
-                // Withdrawn meanwhile, which cuts the connection: nothing has run.
-                if !step(&order.state, PREFACE, WAITING) {
-                    break;
-                }
-                if !alive {
-                    self.tell(Input::Stale);
-                    connection = self.connect();
-                    catalogue.clear();
-                }
+            if !alive {
+                self.tell(Input::Stale);
+                seat = Seat::default();
             }
-            used = true;
-            let reply = match &mut connection {
-                Err(outcome) => Reply::plain(*outcome),
-                Ok((stream, frames)) => {
-                    let mut talk = Exchange { stream, frames, state: &order.state };
-                    match talk.run(&order.what, &mut catalogue) {
-                        Some(reply) => reply,
-                        None => {
-                            self.tell(Input::Idle(self.link));
-                            continue;
-                        }
+        }
+        let connected = match seat.connection.take() {
+            Some(connection) => Ok(connection),
+            None => self.connect(),
+        };
+        let reply = match connected {
+            Err(outcome) => Reply::plain(outcome),
+            Ok((stream, mut frames)) => {
+                let mut talk = Exchange { stream: &stream, frames: &mut frames, state: &order.state };
+                let reply = talk.run(&order.what, &mut seat.catalogue);
+                seat.connection = Some((stream, frames));
+                match reply {
+                    Some(reply) => reply,
+                    None => {
+                        told.push(Input::Idle(self.link));
+                        return Some(seat);
                     }
                 }
-            };
-            let Reply { ending, open } = reply;
-            self.tell(Input::Ended { link: self.link, job: order.job, ending, open });
-            if !open {
-                break;
             }
-        }
-        *self.slot.lock().unwrap_or_else(|e| e.into_inner()) = None;
-        drop(connection);
-        self.tell(Input::Closed(self.link));
+        };
+        let Reply { ending, open } = reply;
+        told.push(Input::Ended { link: self.link, job: order.job, ending, open });
+        open.then_some(seat)
     }
 
     fn tell(&self, input: Input<Work, Answer>) {
@@ -176,7 +250,7 @@
     }
 
     /// Opens the connection, up to the member's first ReadyForQuery.
-    fn connect(&self) -> Result<(Arc<TcpStream>, Frames), Outcome> {
+    fn connect(&self) -> Result<Connection, Outcome> {
         let end = Instant::now() + self.dial;
         let failed = Outcome::ConnectFailed;
         // Guards against taking the proxy's own want of descriptors for the member's fault.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -109,6 +109,7 @@
         messages: messages.clone(),
         ender,
         written,
+        workers: link::Workers::default(),
         links: HashMap::new(),
         clients: HashMap::new(),
         most_clients: bounds.clients,
@@ -156,6 +157,7 @@
     messages: Messages,
     ender: client::Ender,
     written: Receiver<()>,
+    workers: link::Workers,
     links: HashMap<LinkId, link::Handle>,
     clients: HashMap<ClientId, client::Handle>,
     most_clients: usize,
@@ -378,15 +380,15 @@
             match effect {
                 Effect::Open { link, address } => {
                     let dial = Duration::from_micros(self.settings.dial_timeout);
-                    match link::Handle::open(link, address, dial, self.messages.clone()) {
-                        Some(handle) => drop(self.links.insert(link, handle)),
-                        None => tracing::warn!("no thread for another link"),
-                    }
+                    let messages = self.messages.clone();
+                    let handle = link::Handle::open(link, address, dial, messages, &self.workers);
+                    self.links.insert(link, handle);
                 }
                 Effect::Carry { link, job, what } => {
                     let carried = self.links.get_mut(&link).is_some_and(|l| l.carry(job, what));
                     // Guards against taking the proxy's own want of threads for the member's fault.
                     if !carried {
+                        tracing::warn!("no thread for another job");
                         let ending = crate::core::Ending::plain(crate::Outcome::Moot);
                         self.links.remove(&link);
                         self.core(now, Input::Ended { link, job, ending, open: false });
@@ -404,6 +406,8 @@
                     if let Some(handle) = self.links.remove(&link) {
                         handle.cut();
                     }
+                    // No thread is left with it that could say so.
+                    self.core(now, Input::Closed(link));
                 }
                 Effect::Answer { request, verdict } => {
                     if let Some(id) = self.desk.close(request) {
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -397,6 +397,22 @@
     assert_eq!(proxy.client().query(&read(3)), "T D(value) C Z");
 }
 
+/// Guards against a thread for each idle link: the proxies of a machine ran out of thread numbers.
+#[test]
+fn idle_links_hold_no_threads() {
+    let replicas: Vec<_> = (0..30).map(|_| Server::start(false)).collect();
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&replicas.iter().chain([&primary]).collect::<Vec<_>>());
+    let mut client = proxy.client();
+    let asked = (0..300).take_while(|n| {
+        assert_eq!(client.query(&read(*n)), "T D(value) C Z");
+        replicas.iter().any(|r| r.runs() == 0)
+    });
+    assert!(asked.count() < 300, "each replica has a link");
+    let threads = std::fs::read_dir(format!("/proc/{}/task", proxy.child.id())).unwrap().count();
+    assert!(threads < 30, "{threads} threads");
+}
+
 #[test]
 fn few_descriptors_are_survived() {
     let primary = Server::start(true);
