Let newcomers with a told start serve without a trial; a fresh router uses cold members

Ruled out: retry budget as the main cause (1612, all of reads whose aim had passed), lists (the newcomers are listed Ready), the fall rule (never near).

Cause, in balance.rs: on_list set every new member aside until a trial, and trials are one in ten requests: at 9 a second, 40 newcomers take a minute. cold_saved went by what was served so far, which is nothing for a router that has just started in front of cold members. on_outcome took a miss of a request that was over for a lag since 1970.

Now a newcomer whose start is told is used at once within the budget for cold members (one without is tried as before), the budget follows what is asked while little is known, and such a miss tells nothing.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,18 +7,14 @@
 use crate::interface::*;
 use std::collections::BTreeMap;
 
-/// Batches between two runs of the periodic work (held requests, probes).
-const TICK_BATCHES: u64 = 4;
+const TICK_BATCHES: u64 = 4; // Batches between two runs of the periodic work (held requests, probes).
 const TICK_MIN: Micros = 10_000; // Shortest span between two runs of the periodic work.
-/// Answers averaged for one reading of a class's unloaded time.
-const BASE_WINDOW: u32 = 24;
+const BASE_WINDOW: u32 = 24; // Answers averaged for one reading of a class's unloaded time.
 /// Part of a faster and of a slower reading that is taken over: load must not pass for the norm.
 const BASE_FALL: f64 = 0.3;
 const BASE_RISE: f64 = 0.02;
-/// First guess of a class's unloaded time, as a share of its aim.
-const BASE_GUESS: f64 = 0.25;
-/// Weight of one attempt in what a member, a group and all let attempts wait.
-const PRESS_GAIN: f64 = 0.15;
+const BASE_GUESS: f64 = 0.25; // First guess of a class's unloaded time, as a share of its aim.
+const PRESS_GAIN: f64 = 0.15; // Weight of one attempt in what a member, a group and all let attempts wait.
 /// Attempts allowed at a member at first, and the least and most.
 const LIMIT_START: f64 = 6.0;
 const LIMIT_LEAST: f64 = 1.0;
@@ -32,23 +28,17 @@
 const SHED_SPAN: f64 = 0.6;
 /// Shedding yields to the limits by this much for each attempt that a router has out at a member on average.
 const SHED_LESS: f64 = 2.0;
-/// A group's wait fades to that of all groups in this span.
-const WAIT_FADE: f64 = 5_000_000.0;
+const WAIT_FADE: f64 = 5_000_000.0; // A group's wait fades to that of all groups in this span.
 /// Weight of one outcome in a member's failure share, and of the outcome of a trial.
 const FAULT_GAIN: f64 = 0.2;
 const TRIAL_GAIN: f64 = 0.5;
-/// Weight of one outcome in the failure share of all members.
-const FAULT_GAIN_ALL: f64 = 0.05;
+const FAULT_GAIN_ALL: f64 = 0.05; // Weight of one outcome in the failure share of all members.
 /// A member is set aside this far above the failure share of all, and taken back below half of that.
 const FAULT_LIMIT: f64 = 0.35;
-/// A keyed request has at least this multiple of its usual time before it times out within its window.
-const KEYED_TIME: f64 = 4.0;
-/// Least wait before a member set aside gets its next single trial; twice that at most.
-const TRIAL_WAIT: Micros = 800_000;
-/// Part of the requests that may be trials.
-const TRIAL_SHARE: f64 = 0.1;
-/// A trial and a search for the primary time out at this multiple of the usual time.
-const TRIAL_TIME: f64 = 3.0;
+const KEYED_TIME: f64 = 4.0; // Least multiple of its usual time that a keyed request gets in its window.
+const TRIAL_WAIT: Micros = 800_000; // Least wait between two trials of a member; twice that at most.
+const TRIAL_SHARE: f64 = 0.1; // Part of the requests that may be trials.
+const TRIAL_TIME: f64 = 3.0; // Trials and searches for the primary time out at this multiple of the usual.
 /// Further attempts allowed for each request, and the span of requests for which they are saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SPAN: f64 = 1.0;
@@ -56,31 +46,22 @@
 /// Probes for each request, and the least span between two probes of a member.
 const PROBE_SHARE: f64 = 0.5;
 const PROBE_MIN: Micros = 250_000;
-/// Probes are this much closer at a member without connections and in a group without a usable primary.
-const PROBE_HURRY: Micros = 4;
+const PROBE_HURRY: Micros = 4; // Probes are this much closer at a member that is down and in a group not led.
 /// Share of a keyed request's window in which it may be sent again, and that one attempt may take.
 const WINDOW_USED: f64 = 0.95;
 const WINDOW_TRY: f64 = 0.5;
-/// A cold member gets this share of what would knock it over, were warm ones full with what they serve now.
-const COLD_SHARE: f64 = 0.4;
-/// Part of the window in which it can be knocked over for which work is saved up.
-const COLD_SAVED: f64 = 0.5;
-/// Share of the limit that the cheapest and the dearest work may use.
-const ROOM_CHEAP: f64 = 0.5;
+const COLD_SHARE: f64 = 0.4; // A cold member gets this share of what would knock it over, were all full.
+const COLD_SAVED: f64 = 0.5; // Part of the window in which it can be knocked over that work is saved for.
+const ROOM_CHEAP: f64 = 0.5; // Share of the limit that the cheapest work may use, and the dearest.
 const ROOM_DEAR: f64 = 1.4;
-/// Chance that a client's repeat still meets the aim, which runs from its first try.
-const REPEAT_WORTH: f64 = 0.3;
+const REPEAT_WORTH: f64 = 0.3; // Chance that a client's repeat still meets the aim, run from its first try.
 const LONG: f64 = 5.0; // A read is long at this multiple of the lightest class.
-/// A lag not seen again fades over this span: replicas catch up, and reports may be rare.
-const LAG_FADE: f64 = 3_000_000.0;
+const LAG_FADE: f64 = 3_000_000.0; // A lag not seen again fades over this span: replicas catch up.
 const RATE_SPAN: f64 = 3_000_000.0; // Span of the moving rates.
-/// The list tells of a restart within this; until then a member that is back counts as just started.
-const UNTOLD: Micros = 4_000_000;
+const UNTOLD: Micros = 4_000_000; // The list tells of a restart within this; until then back is just started.
 const STALL: Micros = 100_000; // A tick later than this means that the router itself stood still.
-/// Remembered commits before the settled ones are dropped.
-const COMMITS_KEPT: usize = 20_000;
-/// Turns are drawn below this for members not sent to yet.
-const TURN_START: u64 = 1 << 16;
+const COMMITS_KEPT: usize = 20_000; // Remembered commits before the settled ones are dropped.
+const TURN_START: u64 = 1 << 16; // Turns are drawn below this for members not sent to yet.
 const ASK_AGAIN: Micros = 1_000_000; // Wait before the list is asked for again after a failure.
 const FORGET: Micros = 10_000_000; // A member that is gone and silent for so long is forgotten.
 /// A member that answered nothing and refused connections over this span is down.
@@ -198,6 +179,9 @@
     /// Work that members served for this router, in their unloaded time a second, and how many share it.
     served: (f64, Micros),
     sharing: f64,
+    offered: (f64, Micros), // The work of the requests that came, the same way, ...
+    members: f64,           // ... and how many may be used at all.
+    born: Micros,
     /// The share of their aims that attempts waited lately in all groups, at replicas and at primaries.
     wait: [f64; 2],
     /// The share of attempts at all members that failed lately.
@@ -214,6 +198,7 @@
             cfg: settings,
             seed,
             now,
+            born: now,
             base,
             retries: 1.0,
             trials: 1.0,
@@ -296,6 +281,7 @@
                     }
                     let probe_at = now + self.random(PROBE_MIN * Micros::from(self.cfg.instances));
                     let turn = self.random(TURN_START);
+                    let doubted = !first && m.started == 0;
                     self.index.insert(m.server, s);
                     self.servers[s] = Server {
                         id: m.server,
@@ -303,8 +289,9 @@
                         started: m.started,
                         limit: LIMIT_START,
                         vouched: first,
-                        aside: !first,
-                        fault: if first { 0.0 } else { FAULT_LIMIT },
+                        // Only a told start lets a new one be tried at once: being cold bounds what it gets.
+                        aside: doubted,
+                        fault: if doubted { FAULT_LIMIT } else { 0.0 },
                         probe_at,
                         turn,
                         ..Server::default()
@@ -325,8 +312,9 @@
             (v.listed, v.hint, v.zone) = (m.listed, m.primary_hint, m.zone);
             v.drained = m.listed == Listed::Draining || (v.drained && m.listed != Listed::Ready);
         }
-        let sharing = (0..self.servers.len()).filter(|s| self.usable(*s) && !self.cold(&self.servers[*s]));
-        self.sharing = sharing.count() as f64;
+        let usable: Vec<_> = (0..self.servers.len()).filter(|s| self.usable(*s)).collect();
+        self.members = usable.len() as f64;
+        self.sharing = usable.iter().filter(|s| !self.cold(&self.servers[**s])).count() as f64;
         self.wake(None, false, out);
     }
 
@@ -424,6 +412,9 @@
         let most = (self.rate.0 * RETRY_SHARE * RETRY_SPAN).max(1.0);
         self.retries = (self.retries + RETRY_SHARE).min(most);
         self.trials = (self.trials + TRIAL_SHARE).min(1.0);
+        if let Some(base) = self.base.get(req.class) {
+            self.offered = (decay(self.offered.0, self.offered.1, now) + base.0 * 1e6 / RATE_SPAN, now);
+        }
         let Some(class) = self.cfg.classes.get(req.class) else {
             out.push(Action::Fail(req.id));
             return;
@@ -646,12 +637,20 @@
         let since = if v.down { self.now } else { v.started.max(v.back_at) };
         let age = self.now.saturating_sub(since) as f64 / self.cfg.cold_time.max(1) as f64;
         let part = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age;
-        let each = decay(self.served.0, self.served.1, self.now) / self.sharing.max(1.0);
-        let rate = each * part * COLD_SHARE * self.cfg.fall_multiple;
+        let rate = self.each() * part * COLD_SHARE * self.cfg.fall_multiple;
         let most = rate * self.cfg.fall_time as f64 * COLD_SAVED / 1e6;
         (v.cold_work + rate * (self.now - v.cold_at) as f64 / 1e6).min(most)
     }
 
+    /// What a warm member serves for this router, at most its share of all that is asked. Guards against a
+    /// router just started in front of cold members: it has seen nothing served and would give them nothing.
+    fn each(&self) -> f64 {
+        let served = decay(self.served.0, self.served.1, self.now) / self.sharing.max(1.0);
+        let asked = decay(self.offered.0, self.offered.1, self.now) / self.members.max(1.0);
+        let learnt = self.now > self.born + RATE_SPAN as Micros && self.sharing * 2.0 >= self.members;
+        if learnt { asked.min(served) } else { asked }
+    }
+
     fn send(&mut self, id: RequestId, s: usize, search: bool, out: &mut Vec<Action>) {
         let now = self.now;
         let saved = self.cold_saved(s);
@@ -764,9 +763,11 @@
                     Need::Recent(bound) => o.sent.saturating_sub(bound),
                     _ => self.requests.get(&id).map_or(0, |p| p.need),
                 };
-                let v = &mut self.servers[s];
-                v.lag = v.lag.max(now.saturating_sub(wanted) as f64);
-                v.position_at = now;
+                // Of a request that is over, nobody knows any more what it wanted.
+                if wanted > 0 {
+                    let v = &mut self.servers[s];
+                    (v.lag, v.position_at) = (v.lag.max(now.saturating_sub(wanted) as f64), now);
+                }
             }
             Outcome::Miss => {
                 self.servers[s].heard_replica = true;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -318,6 +318,59 @@
     assert!(at_ghost <= 1, "{at_ghost} of 39");
 }
 
+/// Reads answered by `to` of those asked one by one, each served where it is sent.
+fn taken_by(rig: &mut Rig, ids: std::ops::Range<u32>, to: std::ops::RangeInclusive<u64>) -> usize {
+    rig.log.clear();
+    for id in ids {
+        rig.pass(100 * MS);
+        if let Some(at) = sent(&rig.ask(id, ANY)) {
+            rig.end(id, 0, at, Outcome::Ok, None);
+        }
+    }
+    to.map(|n| sends(&rig.log, n)).sum()
+}
+
+/// Guards against newcomers that wait for single trials: at a few requests a second those take minutes, and all
+/// routers crowd the old members meanwhile.
+#[test]
+fn members_that_replace_others_are_not_kept_waiting_for_trials() {
+    let mut rig = Rig::known(settings(), 4);
+    taken_by(&mut rig, 1..100, 1..=4);
+    let started = rig.now;
+    let members = (5..=12).map(|n| Member { started, ..member(n) }).collect();
+    rig.event(Event::List { full: false, members });
+    rig.pass(9000 * MS);
+    let taken = taken_by(&mut rig, 200..220, 5..=12);
+    assert!(taken >= 9, "{taken} of 20 went to 8 newcomers of 12");
+}
+
+/// Guards against a router that starts in front of cold members only and sends them nothing for ever.
+#[test]
+fn a_router_that_has_just_started_uses_cold_members() {
+    let mut rig = Rig::known(settings(), 4);
+    let started = rig.now;
+    let members = (1..=4).map(|n| Member { started, ..member(n) }).collect();
+    rig.event(Event::List { full: true, members });
+    rig.pass(5000 * MS);
+    let taken = taken_by(&mut rig, 1..40, 1..=4);
+    assert!(taken >= 5, "{taken} of 39");
+}
+
+/// Guards against a miss of a request that is over: nobody knows what it wanted, and the member passed for
+/// years behind.
+#[test]
+fn a_miss_of_a_request_that_is_over_tells_no_lag() {
+    let mut rig = Rig::known(settings(), 2);
+    rig.pass(2000 * MS);
+    let fresh = Request { since_write: Some(500 * MS), ..request(1, OWN) };
+    let to = sent(&rig.event(Event::Request(fresh))).unwrap();
+    rig.event(Event::ClientLeft(1));
+    rig.end(1, 0, to, Outcome::Miss, None);
+    let usual = Request { since_write: Some(500 * MS), ..request(2, OWN) };
+    let again = [2, 3].map(|id| sent(&rig.event(Event::Request(Request { id, ..usual.clone() }))));
+    assert!(again.contains(&Some(to)), "{again:?}");
+}
+
 #[test]
 fn a_member_added_later_is_taken_in_by_its_first_good_answer() {
     let mut rig = Rig::known(settings(), 2);
