--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -46,10 +46,13 @@
 #[derive(Clone, Default)]
 pub struct Workers {
     /// Those without a job, the one that had one last at the end: it is the next, and the rest end in time.
-    idle: Arc<Mutex<Vec<(u64, Sender<Order>)>>>,
+    idle: Arc<Mutex<Vec<Worker>>>,
     last: Arc<AtomicU64>,
 }
 
+/// A thread's number, and where its next job goes.
+type Worker = (u64, Sender<Order>);
+
 impl Workers {
     /// Hands over a job; `false` where there is no thread for it.
     fn hand(&self, order: Order) -> bool {
@@ -61,7 +64,7 @@
         spawn("link", move || workers.work(number, order)).is_ok()
     }
 
-    fn idle(&self) -> MutexGuard<'_, Vec<(u64, Sender<Order>)>> {
+    fn idle(&self) -> MutexGuard<'_, Vec<Worker>> {
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
 
