Probe only members whose answers told nothing lately; no hurry where the list names a primary

Cause, in balance.rs, probe(): a group whose primary this proxy has not heard itself was probed four times as often (PROBE_HURRY), and at ten requests a second over 24 groups that is most groups most of the time; and members were probed whose answers had just told the same position and role.

Now the list's primary counts as leading until it says otherwise, and a member is probed only where no answer told its position within the span of a probe.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -869,9 +869,16 @@
             if v.probing || now < v.probe_at || (v.listed != Listed::Ready && bound) {
                 continue;
             }
-            let led = self.groups[&v.group].primary.is_some_and(|p| !self.servers[p].aside);
+            let group = &self.groups[&v.group];
+            // So does one that the list names. Guards against all that have just started probing in a hurry.
+            let told = |m: &usize| self.servers[*m].hint && !self.servers[*m].heard_replica;
+            let leads = group.primary.or(group.members.iter().copied().find(told));
+            let led = leads.is_some_and(|p| self.usable(p) && !self.servers[p].aside);
             let hurry = if led && !v.down { 1 } else { PROBE_HURRY };
             let span = (usual / hurry).max(PROBE_MIN / hurry);
+            if hurry == 1 && now < v.position_at + span {
+                continue; // Answers have told the same lately.
+            }
             let jitter = self.random(span / 4);
             let v = &mut self.servers[s];
             v.probing = true;
