Read positions in load reports as seconds, as members tell them

Cause: net/link.rs, report_of, took x0 for milliseconds. A member heard by probes alone passed for years behind, so reads that need anything were refused there while the group had a primary, and what a probe told of a role counted as older than anything else. Ruled out: misses (fixed before), the core's guard on positions ahead.

--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -575,7 +575,7 @@
     }
 }
 
-/// A load report: `x0` is a position, `x1` is 1 from a primary. One that can't be read whole tells nothing.
+/// A load report: `x0` is a position as Unix time in seconds, unlike those beside answers; `x1` is 1 from a primary. One that can't be read whole tells nothing.
 fn report_of(text: &[u8]) -> Report {
     let read = || {
         let mut report = Report::default();
@@ -584,7 +584,9 @@
             let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
             match name.trim() {
                 "x0" if value >= 0.0 => {
-                    report.position = Some(from_unix_ms(value as Micros)).filter(|p| *p > 0);
+                    // Guards against taking seconds for milliseconds: the member passed for years behind, reads
+                    // that need anything were refused there, and what it said of its role counted as old.
+                    report.position = Some((value * 1e6) as Micros).filter(|p| *p > 0);
                 }
                 "x1" if value == 1.0 => report.role = Some(Role::Primary),
                 "x1" if value == 0.0 => report.role = Some(Role::Replica),
@@ -596,3 +598,17 @@
     };
     read().unwrap_or_default()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_tells_its_position_in_seconds() {
+        let report = report_of(b"x0=1796159340.996,x1=0");
+        assert_eq!(report.role, Some(Role::Replica));
+        let millis = report.position.unwrap().div_ceil(1000);
+        assert!((1_796_159_340_995..=1_796_159_340_997).contains(&millis), "{millis}");
+        assert_eq!(report_of(b"x0=1796159340.996,x1=maybe").position, None);
+    }
+}
