--- a/src/balance.rs
+++ b/src/balance.rs
@@ -10,29 +10,24 @@
 const TICK_BATCHES: u64 = 4; // Batches between two runs of the periodic work (held requests, probes).
 const TICK_MIN: Micros = 10_000; // Shortest span between two runs of the periodic work.
 const BASE_WINDOW: u32 = 24; // Answers averaged for one reading of a class's unloaded time.
-/// Part of a faster and of a slower reading that is taken over: load must not pass for the norm.
-const BASE_FALL: f64 = 0.3;
+const BASE_FALL: f64 = 0.3; // Part of a faster and a slower reading taken over: load must not be the norm.
 const BASE_RISE: f64 = 0.02;
 const BASE_GUESS: f64 = 0.25; // First guess of a class's unloaded time, as a share of its aim.
 const PRESS_GAIN: f64 = 0.15; // Weight of one attempt in what a member, a group and all let attempts wait.
-/// Attempts allowed at a member at first, and the least and most.
-const LIMIT_START: f64 = 6.0;
+const LIMIT_START: f64 = 6.0; // Attempts allowed at a member at first, and the least and most.
 const LIMIT_LEAST: f64 = 1.0;
 const LIMIT_GAIN: f64 = 0.5;
 const LIMIT_MOST: f64 = 64.0;
-/// The limit falls when attempts wait for more than this share of their aim, by this part for each late one.
-const PRESSED: f64 = 0.2;
+const PRESSED: f64 = 0.2; // The limit falls when attempts wait for more of their aim, by this part each.
 const LIMIT_CUT: f64 = 0.15;
 const SHED_FROM: f64 = 0.15; // Work is shed from this share of their aims that attempts wait, all this above.
 const SHED_SPAN: f64 = 0.6;
 const SHED_LESS: f64 = 2.0; // Shedding yields to the limits by this for each attempt out at a member.
 const WAIT_FADE: f64 = 5_000_000.0; // A group's wait fades to that of all groups in this span.
-/// Weight of one outcome in a member's failure share, and of the outcome of a trial.
-const FAULT_GAIN: f64 = 0.2;
+const FAULT_GAIN: f64 = 0.2; // Weight of one outcome in a member's failure share, and of a trial's.
 const TRIAL_GAIN: f64 = 0.5;
 const FAULT_GAIN_ALL: f64 = 0.05; // Weight of one outcome in the failure share of all members.
-/// A member is set aside this far above the failure share of all, and taken back below half of that.
-const FAULT_LIMIT: f64 = 0.35;
+const FAULT_LIMIT: f64 = 0.35; // A member this far above the failure share of all is set aside.
 const KEYED_TIME: f64 = 4.0; // Least multiple of its usual time that a keyed request gets in its window.
 const TRIAL_WAIT: Micros = 800_000; // Least wait between two trials of a member; twice that at most.
 const TRIAL_SHARE: f64 = 0.1; // Part of the requests that may be trials.
@@ -296,6 +291,7 @@
                 (v.fault, v.aside, v.down) = (0.0, false, false);
                 group.primary = group.primary.filter(|p| *p != s);
             }
+            group.round_at = if m.primary_hint && !v.hint { now } else { group.round_at };
             (v.listed, v.hint, v.zone) = (m.listed, m.primary_hint, m.zone);
             v.drained = m.listed == Listed::Draining || (v.drained && m.listed != Listed::Ready);
         }
@@ -487,7 +483,10 @@
             let p = &self.requests[&id];
             return if self.has_room(p, s) { Choice::To(s, self.servers[s].aside) } else { Choice::Full };
         }
-        if p.missed == 0 && self.now < group.round_at {
+        // Departure: half of the attempts go into the first round, the rest come ever later. Guards against a
+        // write that asks all of a group amid a handover and has none left when the primary is there.
+        let spent = (p.attempts + 1).saturating_sub(self.cfg.max_attempts / 2);
+        if if p.missed == 0 { self.now < group.round_at } else { spent > 0 } {
             return Choice::Hold;
         }
         let mut next = group.members.clone();
@@ -503,7 +502,7 @@
         let known = known.filter(|s| self.usable(*s) && !p.tried.contains(s) && self.has_room(p, *s));
         let Some(s) = next.or(known) else { return Choice::Hold };
         let group = self.groups.get_mut(&p.req.group).expect("checked by the caller");
-        group.round_at = self.now + ROUND_WAIT;
+        group.round_at = self.now + (ROUND_WAIT << spent.min(4));
         self.requests.get_mut(&id).expect("checked by the caller").missed += 1;
         Choice::To(s, true)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -362,3 +362,25 @@
     let after = time(&mut rig, 100_000);
     assert!(after < 3 * before, "{before:?} for 500 requests, {after:?} behind 1,000 members that are gone");
 }
+
+/// Guards against a write that asks all of a large group at once amid a handover and has no attempt left when
+/// the new primary is there.
+#[test]
+fn a_write_outlasts_a_handover_of_a_large_group() {
+    let mut rig = Rig::new(Settings { max_attempts: 8, ..settings() }, 10);
+    let patient = Request { remaining: 5000 * MS, ..request(1, UNSAFE) };
+    let mut actions = rig.event(Event::Request(patient));
+    let mut attempt = 0;
+    for _ in 0..80 {
+        while let Some(to) = sent(&actions) {
+            actions = rig.end(1, attempt, to, Outcome::Miss, Some(Role::Replica));
+            attempt += 1;
+        }
+        assert!(!failed(&actions, 1) && !refused(&actions, 1), "given up after {attempt} attempts");
+        actions = rig.pass(20 * MS);
+    }
+    rig.report(7, Role::Primary, rig.now);
+    rig.pass(100 * MS);
+    let last = rig.log.iter().rev().find_map(|a| sent(std::slice::from_ref(a)));
+    assert_eq!(last, Some(7), "sent to the primary once it is heard");
+}
