Back off, with jitter from the seed, where discovery gives no list

Seen in the code, not as a loss: net/discovery.rs tried again every 200 ms for ever, in step over a restarted fleet.

Now the wait doubles from 200 ms to 1.6 s while nothing is heard, and half to one and a half of it is taken by a draw from the seed: 2.4 s at most, within the 6 s after which news bind anyway. The proxy serves on with the list it knows, as before. The test fails without it.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -14,7 +14,10 @@
 /// An empty line comes every 2 s: a watch silent for longer has ended without a sign.
 const SILENCE: Duration = Duration::from_millis(4500);
 const DIAL: Duration = Duration::from_secs(1);
+/// The wait before a watch is opened again, and the most that it grows to while nothing is heard: what
+/// discovery has to tell counts as told 6 s later at the latest.
 const AGAIN: Duration = Duration::from_millis(200);
+const AGAIN_MOST: Duration = Duration::from_millis(1600);
 /// The longest line, and so the longest list, that is read.
 const MAX_LINE: usize = 4 << 20;
 
@@ -108,18 +111,36 @@
 impl Watch {
     /// Starts one behind this version, or, without one, from the whole list: versions of another discovery
     /// tell nothing.
-    pub fn start(id: WatchId, address: SocketAddr, rev: Option<u64>, messages: Messages) -> Result<Watch> {
+    pub fn start(
+        id: WatchId,
+        address: SocketAddr,
+        rev: Option<u64>,
+        seed: u64,
+        messages: Messages,
+    ) -> Result<Watch> {
         let (stream, ended): (Arc<Mutex<Option<TcpStream>>>, Arc<AtomicBool>) = Default::default();
-        let mut watcher =
-            Watcher { id, address, rev, messages, stream: stream.clone(), ended: ended.clone() };
+        let mut watcher = Watcher {
+            id,
+            address,
+            rev,
+            heard: false,
+            messages,
+            stream: stream.clone(),
+            ended: ended.clone(),
+        };
         spawn("discovery", move || {
+            let (mut wait, mut turn) = (AGAIN, seed);
             while !watcher.ended.load(Ordering::SeqCst) {
                 if let Err(e) = watcher.once()
                     && !watcher.ended.load(Ordering::SeqCst)
                 {
                     tracing::warn!(error = %e, "the watch on the member list ended");
                 }
-                std::thread::sleep(AGAIN);
+                // Guards against hundreds of proxies that call in step, and ever on, where discovery is short
+                // of room: the wait doubles while nothing is heard, and half to one and a half of it is taken.
+                wait = if std::mem::take(&mut watcher.heard) { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
+                turn = hash(&turn.to_be_bytes());
+                std::thread::sleep(wait / 2 + wait * (turn % 1000) as u32 / 1000);
             }
         })?;
         Ok(Watch { id, address, stream, ended })
@@ -142,6 +163,8 @@
     address: SocketAddr,
     /// What it has been told; `None` before the first whole list.
     rev: Option<u64>,
+    /// Discovery has said something since the last call.
+    heard: bool,
     messages: Messages,
     stream: Arc<Mutex<Option<TcpStream>>>,
     ended: Arc<AtomicBool>,
@@ -168,6 +191,7 @@
         let mut body = Body::open(&stream)?;
         let mut line = Vec::new();
         while let Some(part) = body.next()? {
+            self.heard = true;
             for byte in part {
                 if byte != b'\n' || !lines {
                     line.push(byte);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -116,7 +116,7 @@
         seed: config.seed,
         ready_at: Some(clock.now() + READY_AFTER),
         told: config.known.rev,
-        watch: Watch::start(0, config.discovery, Some(config.known.rev), messages.clone())?,
+        watch: Watch::start(0, config.discovery, Some(config.known.rev), config.seed, messages.clone())?,
         ending: None,
     };
     host.store.note(Change::Set("proxy".into(), config.told.clone()));
@@ -297,7 +297,7 @@
             return tracing::info!("told to read the configuration again: discovery is where it was");
         }
         // The members stay as they were last told until the new address has told its whole list.
-        match Watch::start(self.watch.id + 1, address, None, self.messages.clone()) {
+        match Watch::start(self.watch.id + 1, address, None, self.seed, self.messages.clone()) {
             Ok(watch) => {
                 tracing::info!(discovery = %address, "following discovery to another address");
                 self.watch = watch;
--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -211,6 +211,20 @@
 }
 
 /// Guards against a pause of the process ending the watch, and the proxy living on an old list.
+/// Guards against a fleet that calls a discovery in trouble five times a second, in step.
+#[test]
+fn calls_for_the_list_grow_rarer_while_nothing_is_heard() {
+    let proxy = Proxy::start(&[&Server::start(true)]);
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (from, to) = (proxy.discovery.address.to_string(), dead.local_addr().unwrap().to_string());
+    proxy.reload(&configuration(&proxy.discovery).replace(&from, &to));
+    drop(dead.accept().unwrap());
+    let first = Instant::now();
+    (0..5).for_each(|_| drop(dead.accept().unwrap()));
+    assert!(first.elapsed() > Duration::from_millis(1800), "{:?} for five calls", first.elapsed());
+    assert_eq!(proxy.client().query(&read(1)), "T D(value) C Z", "it serves on with what it knows");
+}
+
 #[test]
 fn a_stopped_and_continued_process_keeps_its_watch() {
     let (old, new) = (Server::start(true), Server::start(true));
