Newcomers get a trial first where trials reach all members within a second

The reason for doing without trials is that they take a minute at ten requests a second. At hundreds they cost no time, so there the module is again as it was: a trial first.

The test fails without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -49,8 +49,7 @@
 const LAG_FADE: f64 = 3_000_000.0; // A lag not seen again fades over this span: replicas catch up.
 const RATE_SPAN: f64 = 3_000_000.0; // Span of the moving rates.
 const UNTOLD: Micros = 4_000_000; // The list tells of a restart within this; until then back is just started.
-/// Of equals, so many replicas of a group are used while their connections last: new ones cost work and time.
-const IN_USE: usize = 2;
+const IN_USE: usize = 2; // Of equals, so many replicas of a group are used while their connections last.
 const USED: Micros = 80; // A connection is taken to last for so many hundredths of what a member allows.
 const STALL: Micros = 100_000; // A tick later than this means that the router itself stood still.
 const COMMITS_KEPT: usize = 20_000; // Remembered commits before the settled ones are dropped.
@@ -263,7 +262,9 @@
                     }
                     let probe_at = now + self.random(PROBE_MIN * Micros::from(self.cfg.instances));
                     let turn = self.random(TURN_START);
-                    let doubted = !first && m.started == 0;
+                    // A trial comes first where it costs no time: where trials reach all members in a second.
+                    let trials = decay(self.rate.0, self.rate.1, now) * TRIAL_SHARE;
+                    let doubted = !first && (m.started == 0 || trials > self.servers.len() as f64);
                     self.index.insert(m.server, s);
                     self.servers[s] = Server {
                         id: m.server,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -365,6 +365,25 @@
     assert!((30..=75).contains(&used), "{used} connections of 30 routers");
 }
 
+/// Guards against many reads at once at newcomers nobody has tried, where a trial costs no time.
+#[test]
+fn a_newcomer_is_tried_once_where_requests_are_many() {
+    let mut rig = Rig::known(settings(), 4);
+    for id in 1..1000 {
+        rig.pass(3 * MS);
+        let to = sent(&rig.ask(id, ANY)).unwrap();
+        rig.end(id, 0, to, Outcome::Ok, None);
+    }
+    rig.event(Event::List { full: false, members: vec![Member { started: rig.now, ..member(5) }] });
+    rig.pass(9500 * MS);
+    (2000..2300).for_each(|id| drop(rig.ask(id, ANY)));
+    rig.log.clear();
+    let started = rig.now - 9000 * MS;
+    rig.event(Event::List { full: false, members: vec![Member { started, ..member(6) }] });
+    (3000..3040).for_each(|id| drop(rig.ask(id, ANY)));
+    assert!(sends(&rig.log, 6) <= 1, "{} sent before its first answer", sends(&rig.log, 6));
+}
+
 /// Guards against a router that starts in front of cold members only and sends them nothing for ever.
 #[test]
 fn a_router_that_has_just_started_uses_cold_members() {
