--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -137,7 +137,7 @@
                     tracing::warn!(error = %e, "the watch on the member list ended");
                 }
                 // Guards against hundreds of proxies that call in step, and ever on, where discovery is short
-                // of room: the wait doubles while nothing is heard, and half to one and a half of it is taken.
+                // of room: the wait doubles while nothing is heard; half to one and a half of it is taken.
                 wait = if std::mem::take(&mut watcher.heard) { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
                 turn = hash(&turn.to_be_bytes());
                 std::thread::sleep(wait / 2 + wait * (turn % 1000) as u32 / 1000);
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,5 +1,5 @@
-//! Connections to members. A job on one has a thread to itself: a hung member stalls nothing but that thread. An
-//! idle connection has none.
+//! Connections to members. A job on one has a thread to itself: a hung member stalls nothing but that
+//! thread. An idle connection has none.
 
 use super::{Message, Messages, clock::from_unix_ms, spawn};
 use crate::core::{Ending, Input, Job, JobId, LinkId};
@@ -575,7 +575,8 @@
     }
 }
 
-/// A load report: `x0` is a position as Unix time in seconds, unlike those beside answers; `x1` is 1 from a primary. One that can't be read whole tells nothing.
+/// A load report: `x0` is a position as Unix time in seconds, unlike those beside answers; `x1` is 1 from a
+/// primary. One that can't be read whole tells nothing.
 fn report_of(text: &[u8]) -> Report {
     let read = || {
         let mut report = Report::default();
@@ -584,7 +585,7 @@
             let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
             match name.trim() {
                 "x0" if value >= 0.0 => {
-                    // Guards against taking seconds for milliseconds: the member passed for years behind, reads
+                    // Guards against taking seconds for milliseconds: the member passed for years late, reads
                     // that need anything were refused there, and what it said of its role counted as old.
                     report.position = Some((value * 1e6) as Micros).filter(|p| *p > 0);
                 }
