Let a write's attempts last as long as its time

A primary that refuses connections was asked again at once, so that a write with 1.7 to 5 s left had used its eight attempts within 2 ms: SE id=126 att=0 s=65 / OU ConnectFailed el=0 / ... / 8.974 GU id=126 why=attempts att=8 And a write in its late attempts kept all others of its group from asking for up to 1.6 s (id=165: att=0, held for 1,070 ms, round_unknown).

Change: after a failed attempt at the primary, and after its first round, a write rests; the waits double so that what is left of its attempts lasts as long as its time; the last one is kept for a primary that is known. Others are kept from asking for one ROUND_WAIT only.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -131,6 +131,7 @@
     tried: Vec<usize>,
     missed: u32,
     held: Option<Micros>, // Held, until this at least.
+    again_at: Micros,     // Its primary is not asked for again before.
     worth: f64,
     luck: f64, // Drawn once: the unluckiest are shed first.
 }
@@ -217,10 +218,14 @@
             Event::Probed { server, answered, report } => {
                 if let Some(&s) = self.index.get(&server) {
                     self.servers[s].probing = false;
+                    let group = self.servers[s].group;
+                    let before = self.groups.get(&group).and_then(|g| g.primary);
                     if answered {
                         self.heard(s);
                         self.on_report(s, report);
                     }
+                    let after = self.groups.get(&group).and_then(|g| g.primary);
+                    self.wake(Some(group), after.is_some() && after != before, out);
                 }
             }
             Event::ClientLeft(id) => self.finish(id, out),
@@ -254,6 +259,7 @@
             }
         }
         let (first, now) = (self.servers.is_empty(), self.now);
+        let mut named = Vec::new();
         for m in members {
             let s = match self.index.get(&m.server) {
                 Some(&s) => s,
@@ -300,13 +306,17 @@
                 (v.fault, v.aside, v.down) = (0.0, false, false);
                 group.primary = group.primary.filter(|p| *p != s);
             }
-            group.round_at = if m.primary_hint && !v.hint { now } else { group.round_at };
+            if m.primary_hint && !v.hint {
+                group.round_at = now;
+                named.push(m.group);
+            }
             (v.listed, v.hint, v.zone) = (m.listed, m.primary_hint, m.zone);
             v.drained = m.listed == Listed::Draining || (v.drained && m.listed != Listed::Ready);
         }
         let usable: Vec<_> = (0..self.servers.len()).filter(|s| self.usable(*s)).collect();
         self.members = usable.len() as f64;
         self.sharing = usable.iter().filter(|s| !self.cold(&self.servers[**s])).count() as f64;
+        named.into_iter().for_each(|group| self.wake(Some(group), true, out));
         self.wake(None, false, out);
     }
 
@@ -436,6 +446,7 @@
             tried: Vec::new(),
             missed: 0,
             held: None,
+            again_at: 0,
             worth,
             luck,
             req,
@@ -482,21 +493,31 @@
     fn choose_primary(&mut self, id: RequestId) -> Choice {
         let p = &self.requests[&id];
         let (group, class) = (&self.groups[&p.req.group], p.req.class);
+        if self.now < p.again_at {
+            return Choice::Hold;
+        }
         let leads = self.leads(group).filter(|s| group.primary == Some(*s) || !p.tried.contains(s));
         if let Some(s) = leads
             && self.usable(s)
             && (!self.servers[s].aside || self.trial_due(s) || group.members.len() == 1)
         {
+            if p.tried.contains(&s) {
+                return self.rest(id);
+            }
             if !self.has_room(p, s) {
                 return Choice::Full;
             }
             let won = self.cold_stake(s, class);
             return if won { Choice::To(s, self.servers[s].aside) } else { Choice::Hold };
         }
-        // Departure: half of the attempts go into the first round, the rest come ever later. Guards against a
-        // write that asks all of a group amid a handover and has none left when the primary is there.
-        let spent = (p.attempts + 1).saturating_sub(self.cfg.max_attempts / 2);
-        if if p.missed == 0 { self.now < group.round_at } else { spent > 0 } {
+        // Departure: half of the attempts go into the first round, and the last is kept for a primary that is
+        // known. Guards against a write that asks all of a group amid a handover and has none left when the
+        // primary is there.
+        let most = self.cfg.max_attempts;
+        if p.attempts + 1 >= most || (p.missed > 0 && p.attempts >= most / 2) {
+            return self.rest(id);
+        }
+        if p.missed == 0 && self.now < group.round_at {
             return Choice::Hold;
         }
         let mut next = group.members.clone();
@@ -510,13 +531,26 @@
         // A round of misses shows that there is no other primary: one set aside is tried again.
         let known = self.groups[&p.req.group].primary;
         let known = known.filter(|s| self.usable(*s) && !p.tried.contains(s) && self.has_room(p, *s));
-        let Some(s) = next.or(known) else { return Choice::Hold };
+        let Some(s) = next.or(known) else { return self.rest(id) };
         let group = self.groups.get_mut(&p.req.group).expect("checked by the caller");
-        group.round_at = self.now + (ROUND_WAIT << spent.min(4));
+        group.round_at = self.now + ROUND_WAIT;
         self.requests.get_mut(&id).expect("checked by the caller").missed += 1;
         Choice::To(s, true)
     }
 
+    /// Holds a request whose primary is not to be had until its next attempt. The waits double, so that what it
+    /// has left of attempts lasts as long as its time. Guards against a primary that refuses connections and
+    /// uses up all attempts of a write within a millisecond.
+    fn rest(&mut self, id: RequestId) -> Choice {
+        let (now, most) = (self.now, self.cfg.max_attempts);
+        let p = self.requests.get_mut(&id).expect("checked by the caller");
+        let late = self.cfg.classes[p.req.class].late_share > 0.0;
+        let left = if late { p.deadline } else { p.aim_at }.saturating_sub(now);
+        let wait = left >> most.saturating_sub(p.attempts).min(63);
+        p.again_at = now + if p.attempts == 0 { 0 } else { wait.max(ROUND_WAIT) };
+        Choice::Hold
+    }
+
     /// The primary, or who the list says it is: where the list is wrong, the first miss shows it. Guards against
     /// asking the others in vain for as long as a cold primary has no budget.
     fn leads(&self, group: &Group) -> Option<usize> {
@@ -911,6 +945,7 @@
         for id in held.map(|(id, _)| *id).collect::<Vec<_>>() {
             let p = self.requests.get_mut(&id).expect("just listed");
             (p.tried, p.missed) = (Vec::new(), 0);
+            p.again_at = if found { 0 } else { p.again_at };
             self.advance(id, out);
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -384,3 +384,24 @@
     let last = rig.log.iter().rev().find_map(|a| sent(std::slice::from_ref(a)));
     assert_eq!(last, Some(7), "sent to the primary once it is heard");
 }
+
+/// Guards against a primary that refuses connections at once and uses up all of a write's attempts.
+#[test]
+fn a_write_outlasts_a_primary_that_refuses_connections() {
+    let mut rig = Rig::known(Settings { max_attempts: 8, ..settings() }, 2);
+    let patient = Request { remaining: 5000 * MS, ..request(1, UNSAFE) };
+    let mut actions = rig.event(Event::Request(patient));
+    let mut attempt = 0;
+    for _ in 0..150 {
+        while let Some(to) = sent(&actions) {
+            let how = if to == 1 { Outcome::ConnectFailed } else { Outcome::Miss };
+            actions = rig.end(1, attempt, to, how, None);
+            attempt += 1;
+        }
+        assert!(!failed(&actions, 1) && !refused(&actions, 1), "given up after {attempt} attempts");
+        actions = rig.pass(20 * MS);
+    }
+    rig.report(2, Role::Primary, rig.now);
+    let last = rig.log.iter().rev().find_map(|a| sent(std::slice::from_ref(a)));
+    assert_eq!(last, Some(2), "sent to the new primary as soon as a report names it");
+}
