Operators' listener, true counters, draining, and upgrades on an inherited socket

Change, as docs/design-operations.md has it: net/ops.rs (HTTP/1.1 on httparse, a thread a call, 16 at most, 2 s for a head); the reducer counts each final answer in Core::answer and each attempt at the word of its link; out of service the empty query gets 57P03 and connections are closed between requests a second later, in service ends that; GW_LISTEN_FD is taken over with pidfd_getfd, checked to be a listener, and given up 0.5 s after SIGTERM; links are kept to a third of the descriptors there, as two processes are one proxy to the limits. The extended front drains, too. docs/operations.md is the page for on-call staff.

Tests: counters against what stand-ins saw with a kill and an abandon, wrong and slow calls, a drain and back, an upgrade with a connection after the other, bad descriptors.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -234,6 +234,13 @@
         }
     }
 
+    /// How many members the list names, and how many of them are avoided now.
+    pub fn members(&self) -> (usize, usize) {
+        let listed = self.servers.iter().filter(|v| v.listed != Listed::Gone);
+        let avoided = listed.clone().filter(|v| v.aside || v.down || v.listed == Listed::Draining);
+        (listed.count(), avoided.count())
+    }
+
     fn random(&mut self, below: u64) -> u64 {
         self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.seed;
@@ -538,9 +545,8 @@
         Choice::To(s, true)
     }
 
-    /// Holds a request whose primary is not to be had until its next attempt. The waits double, so that what it
-    /// has left of attempts lasts as long as its time. Guards against a primary that refuses connections and
-    /// uses up all attempts of a write within a millisecond.
+    /// Holds a request until its next attempt. The waits double, so that its attempts last as long as its time.
+    /// Guards against a primary that refuses connections and uses up all of them within a millisecond.
     fn rest(&mut self, id: RequestId) -> Choice {
         let (now, most) = (self.now, self.cfg.max_attempts);
         let p = self.requests.get_mut(&id).expect("checked by the caller");
@@ -911,9 +917,8 @@
         }
     }
 
-    /// Takes one answer's time into its class's unloaded time. Until a class had a reading of its own, its few
-    /// answers count with what all classes told. Guards against a router that sees a class once in a while and
-    /// would go by the guess for minutes: what a cold member may get is counted in these times.
+    /// Takes one answer's time into its class's unloaded time. Until its own first reading, a class's answers
+    /// count with what all classes told. Guards against going by the guess for minutes where a class is rare.
     fn learn(&mut self, class: usize, elapsed: f64) {
         let guess = |class: usize| self.cfg.classes[class].aim as f64 * BASE_GUESS;
         self.pace = (self.pace.0 + elapsed / guess(class), self.pace.1 + 1.0);
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,6 +13,12 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    #[serde(default)]
+    pub ops: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    #[serde(skip)]
+    pub listen_fd: Option<i32>,
     /// Where discovery is reached.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -75,6 +81,13 @@
         let whole: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
         config.told = whole["settings"].clone();
         address("GW_LISTEN", &mut config.listen)?;
+        if let Ok(text) = std::env::var("GW_OPS") {
+            config.ops = Some(text.parse().map_err(|_| format!("GW_OPS is no address: {text}"))?);
+        }
+        if let Ok(text) = std::env::var("GW_LISTEN_FD") {
+            let number = text.parse().ok().filter(|n| (0..1 << 20).contains(n));
+            config.listen_fd = Some(number.ok_or(format!("GW_LISTEN_FD is no descriptor: {text}"))?);
+        }
         if let Ok(name) = std::env::var("GW_NAME") {
             config.name = name;
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -107,6 +107,8 @@
         /// The link may take another.
         open: bool,
     },
+    /// The last byte of an attempt has been written to its member.
+    Written,
     /// A link whose job was withdrawn is up and idle.
     Idle(LinkId),
     /// A check found that a link's connection led nowhere any more; it has been opened anew.
@@ -201,7 +203,25 @@
     dropping: Option<Outcome>,
 }
 
+/// What the reducer has counted since the start, and how things stand.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// For each class, by index, the requests served, refused and failed.
+    pub ended: Vec<[u64; 3]>,
+    /// Requests that were taken.
+    pub taken: u64,
+    /// Requests whose client left before the answer.
+    pub abandoned: u64,
+    /// Attempts written whole to members.
+    pub attempts: u64,
+    /// Requests that are owed an answer.
+    pub pending: usize,
+    /// Members in the list, and those of them that are avoided now.
+    pub members: (usize, usize),
+}
+
 struct Held<W> {
+    class: usize,
     work: Arc<W>,
     deadline: Micros,
     attempts: u32,
@@ -232,6 +252,7 @@
     end: Micros,
     /// Until then, every idle link is checked before it is used.
     doubt: Micros,
+    tally: Tally,
     effects: Vec<Effect<W, A>>,
 }
 
@@ -240,7 +261,9 @@
     pub fn new(settings: Settings, seed: u64, now: Micros, links: usize) -> Self {
         let mut timers = Timers::default();
         timers.set(now + SWEEP, Alarm::Sweep);
+        let tally = Tally { ended: vec![[0; 3]; settings.classes.len()], ..Tally::default() };
         Core {
+            tally,
             router: Router::new(settings.clone(), seed, now),
             settings,
             requests: BTreeMap::new(),
@@ -264,12 +287,18 @@
         self.requests.len()
     }
 
+    /// The counts, which always add up: taken is what is pending, ended or abandoned.
+    pub fn tally(&self) -> Tally {
+        Tally { pending: self.requests.len(), members: self.router.members(), ..self.tally.clone() }
+    }
+
     /// Takes one input and returns what is to be done about it, in order.
     pub fn step(&mut self, now: Micros, input: Input<W, A>) -> Vec<Effect<W, A>> {
         match input {
             Input::Arrived(arrival) => self.arrived(now, arrival),
             Input::Left(request) => {
                 if self.requests.remove(&request).is_some() {
+                    self.tally.abandoned += 1;
                     self.tell(now, Event::ClientLeft(request));
                 }
             }
@@ -283,6 +312,7 @@
                 self.pool.free(link, open, now);
                 self.settle(now, job, ending);
             }
+            Input::Written => self.tally.attempts += 1,
             Input::Idle(link) => self.pool.free(link, true, now),
             Input::Stale => self.doubt = now + DOUBT,
             Input::Closed(link) => {
@@ -325,16 +355,19 @@
     fn arrived(&mut self, now: Micros, Arrival { mut request, work }: Arrival<W>) {
         let id = request.id;
         let Some(class) = self.settings.classes.get(request.class) else {
-            return self.answer(id, Verdict::Failed { ran: false });
+            self.effects.push(Effect::Answer { request: id, verdict: Verdict::Failed { ran: false } });
+            return;
         };
+        self.tally.taken += 1;
         if self.requests.len() >= self.settings.most_held {
-            return self.answer(id, Verdict::Refused { retry_after: 0 });
+            return self.answer(id, request.class, Verdict::Refused { retry_after: 0 });
         }
         let (safe, once) = (class.effect == Repeats::Safe, class.effect == Repeats::Unsafe);
         request.remaining = request.remaining.saturating_sub(MARGIN);
         request.remaining = request.remaining.min(self.end.saturating_sub(now)).max(1_000);
         let deadline = now + request.remaining;
-        self.requests.insert(id, Held { work, deadline, attempts: 0, safe, once, ran: false });
+        let class = request.class;
+        self.requests.insert(id, Held { class, work, deadline, attempts: 0, safe, once, ran: false });
         self.timers.set(deadline + GUARD, Alarm::Deadline(id));
         self.tell(now, Event::Request(request));
     }
@@ -353,11 +386,18 @@
             Verdict::Failed { ran: held.ran || out }
         };
         self.effects.push(Effect::Log(format!("request {id} was held past its deadline")));
-        self.answer(id, verdict);
+        self.answer(id, held.class, verdict);
         self.tell(now, Event::ClientLeft(id));
     }
 
-    fn answer(&mut self, request: RequestId, verdict: Verdict<A>) {
+    /// The one place where a final answer is given and counted.
+    fn answer(&mut self, request: RequestId, class: usize, verdict: Verdict<A>) {
+        let kind = match &verdict {
+            Verdict::Served(_) => 0,
+            Verdict::Refused { .. } => 1,
+            Verdict::Failed { .. } => 2,
+        };
+        self.tally.ended[class][kind] += 1;
         self.effects.push(Effect::Answer { request, verdict });
     }
 
@@ -373,13 +413,13 @@
                         todo.extend(self.send(now, request, server, timeout));
                     }
                     Action::Refuse { request, retry_after } => {
-                        if self.requests.remove(&request).is_some() {
-                            self.answer(request, Verdict::Refused { retry_after });
+                        if let Some(held) = self.requests.remove(&request) {
+                            self.answer(request, held.class, Verdict::Refused { retry_after });
                         }
                     }
                     Action::Fail(request) => {
                         if let Some(held) = self.requests.remove(&request) {
-                            self.answer(request, Verdict::Failed { ran: held.ran });
+                            self.answer(request, held.class, Verdict::Failed { ran: held.ran });
                         }
                     }
                     Action::Cancel { request, attempt } => {
@@ -505,8 +545,9 @@
             if matches!(outcome, Outcome::Ok | Moot)
                 && let Some(answer) = answer
             {
+                let class = held.class;
                 self.requests.remove(&request);
-                self.answer(request, Verdict::Served(answer));
+                self.answer(request, class, Verdict::Served(answer));
             }
         }
         let finished = !self.requests.contains_key(&request);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -111,6 +111,17 @@
     Ask(Ask),
 }
 
+/// Whether the front layer may send clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// Not known yet: empty queries wait.
+    Starting,
+    /// Yes.
+    In,
+    /// No: an operator has taken this proxy out of service. Open connections are served.
+    Out,
+}
+
 /// A front's own way of talking.
 pub trait Talk {
     /// A command, as the reader hands it over.
@@ -124,7 +135,7 @@
         &mut self,
         session: &mut Self::Session,
         command: Self::Command,
-        ready: bool,
+        service: Service,
     ) -> Step<Self::Command>;
     /// What the store is to note since the last call.
     fn notes(&mut self) -> Vec<Change> {
@@ -182,8 +193,7 @@
 pub struct Lobby<T: Talk> {
     talk: T,
     clients: BTreeMap<ClientId, Client<T>>,
-    /// Empty queries are answered: the front layer may send clients.
-    ready: bool,
+    service: Service,
     /// Connections are closed between requests.
     closing: bool,
 }
@@ -191,12 +201,13 @@
 impl<T: Talk> Lobby<T> {
     /// A front without connections.
     pub fn new(talk: T) -> Self {
-        Lobby { talk, clients: BTreeMap::new(), ready: false, closing: false }
+        Lobby { talk, clients: BTreeMap::new(), service: Service::Starting, closing: false }
     }
 
-    /// The proxy is ready: commands that waited for that go on.
-    pub fn ready(&mut self, desk: &mut Desk, now: Micros) -> Vec<Out> {
-        self.ready = true;
+    /// The proxy can serve, or is taken out of service or back: commands that waited for that go on.
+    pub fn serve(&mut self, service: Service, desk: &mut Desk, now: Micros) -> Vec<Out> {
+        self.service = service;
+        self.closing &= service == Service::Out;
         let mut out = Vec::new();
         for id in self.clients.keys().copied().collect::<Vec<_>>() {
             self.next(desk, now, id, &mut out);
@@ -299,7 +310,7 @@
             && let Some(command) = client.queue.pop_front()
         {
             let since = T::read_at(&command).max(client.free_at);
-            let step = self.talk.start(&mut client.session, command, self.ready);
+            let step = self.talk.start(&mut client.session, command, self.service);
             out.extend(self.talk.notes().into_iter().map(Out::Note));
             match step {
                 Step::Wait(command) => {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's front: simple queries, one statement each, described by the comment that they carry.
 
-use super::{Answer, Ask, Step, Talk, Work, put_verdict};
+use super::{Answer, Ask, Service, Step, Talk, Work, put_verdict};
 use crate::core::Verdict;
 use crate::net::clock::from_unix_ms;
 use crate::pg::{self, statement};
@@ -74,10 +74,14 @@
         query.at
     }
 
-    fn start(&mut self, (): &mut (), query: Query, ready: bool) -> Step<Query> {
+    fn start(&mut self, (): &mut (), query: Query, service: Service) -> Step<Query> {
         let mut bytes = Vec::new();
         match query.fields {
-            Ok(Asked::Empty) if !ready => return Step::Wait(query),
+            Ok(Asked::Empty) if service == Service::Starting => return Step::Wait(query),
+            // The front layer's question, whether it may send clients.
+            Ok(Asked::Empty) if service == Service::Out => {
+                pg::put_error(&mut bytes, "ERROR", pg::OUT_OF_SERVICE, "out of service", None);
+            }
             Ok(Asked::Empty) => pg::put(&mut bytes, b'I', &[]),
             Err(why) => pg::put_error(&mut bytes, "ERROR", pg::PROTOCOL_VIOLATION, why, None),
             Ok(Asked::Request(ask, place)) => {
--- a/src/front/postgres.rs
+++ b/src/front/postgres.rs
@@ -6,7 +6,7 @@
 //! further one, as the implicit transaction has ended at the member.
 
 use super::unit::{Part, Prepared, Unit};
-use super::{Answer, Ask, Step, Talk, Work, put_verdict};
+use super::{Answer, Ask, Service, Step, Talk, Work, put_verdict};
 use crate::core::Verdict;
 use crate::net::clock::from_unix_ms;
 use crate::pg::{self, statement};
@@ -462,7 +462,7 @@
         batch.at
     }
 
-    fn start(&mut self, session: &mut Session, batch: Batch, _ready: bool) -> Step<Batch> {
+    fn start(&mut self, session: &mut Session, batch: Batch, service: Service) -> Step<Batch> {
         if session.skipping && batch.end != b'S' {
             return Step::Say(Vec::new());
         }
@@ -470,6 +470,10 @@
             return Step::Say(self.end(session, batch.end, Vec::new()));
         }
         let step = match batch.messages.first() {
+            // The front layer's question, whether it may send clients.
+            Some(message) if batch.end == b'Q' && service == Service::Out && message.len() == 6 => {
+                Err((pg::OUT_OF_SERVICE, "out of service".into()))
+            }
             Some(message) if batch.end == b'Q' => self.simple(session, message),
             _ => self.unit(session, &batch),
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,4 +72,4 @@
 pub use config::{Config, from_toml};
 pub use front::postgres::Listen;
 pub use interface::*;
-pub use net::serve;
+pub use net::{listener, serve};
--- a/src/main.rs
+++ b/src/main.rs
@@ -133,7 +133,10 @@
             .map_err(|e| (BAD_CONFIG, e)),
         Command::Serve(s) => read(s.postgres.as_deref(), s.store.as_deref(), s.syslog.as_deref())
             .map_err(|e| (BAD_CONFIG, e))
-            .and_then(|files| serve(files).map_err(|e| (1, e.to_string()))),
+            .and_then(|files| {
+                let listener = liftrelay::listener(&files.config).map_err(|e| (BAD_CONFIG, e))?;
+                serve(files, listener).map_err(|e| (1, e.to_string()))
+            }),
         Command::Store(s) => from_toml(&s.file)
             .map_err(|e| (BAD_CONFIG, e))
             .and_then(|replicas| store(&replicas, s.action).map_err(|e| (1, e.to_string()))),
@@ -147,10 +150,10 @@
     }
 }
 
-fn serve(files: Files) -> std::io::Result<()> {
+fn serve(files: Files, listener: std::net::TcpListener) -> std::io::Result<()> {
     let Files { config, postgres, replicas, collector } = files;
     let log = syslog::start(collector)?;
-    let served = liftrelay::serve(&config, postgres, &replicas);
+    let served = liftrelay::serve(&config, listener, postgres, &replicas);
     log.finish();
     served
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -78,6 +78,8 @@
     /// No connection is accepted until one has gone.
     full: AtomicBool,
     ending: AtomicBool,
+    /// Nothing is accepted any more: another process does.
+    hushed: AtomicBool,
 }
 
 impl Common {
@@ -229,6 +231,12 @@
 pub struct Ender(Arc<Common>);
 
 impl Ender {
+    /// No connection is accepted any more; what waits is for the process that listens there, too.
+    pub fn hush(&self) {
+        self.0.hushed.store(true, Ordering::SeqCst);
+        self.0.wake();
+    }
+
     /// No connection is accepted any more, and the thread ends when the last has gone.
     pub fn end(&self) {
         self.0.ending.store(true, Ordering::SeqCst);
@@ -321,6 +329,7 @@
             open: AtomicUsize::new(0),
             full: AtomicBool::new(false),
             ending: AtomicBool::new(false),
+            hushed: AtomicBool::new(false),
         });
         let ender = Ender(common.clone());
         let reception = Reception {
@@ -350,6 +359,10 @@
                 drop(self.alive.take());
                 return;
             }
+            if self.common.hushed.load(Ordering::SeqCst) && !self.listeners.is_empty() {
+                let listeners = std::mem::take(&mut self.listeners);
+                listeners.iter().for_each(|(l, _)| _ = epoll::delete(&self.common.epoll, l));
+            }
             let due = [self.limits.first().map(|l| l.0), self.deaf.flatten()].into_iter().flatten().min();
             let wait = due.map(|due| {
                 let left = due.saturating_duration_since(Instant::now()) + Duration::from_millis(1);
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -231,7 +231,9 @@
         let reply = match connected {
             Err(outcome) => Reply::plain(outcome),
             Ok((stream, mut frames)) => {
-                let mut talk = Exchange { stream: &stream, frames: &mut frames, state: &order.state };
+                let written = || self.tell(Input::Written);
+                let mut talk =
+                    Exchange { stream: &stream, frames: &mut frames, state: &order.state, written: &written };
                 let reply = talk.run(&order.what, &mut seat.catalogue);
                 seat.connection = Some((stream, frames));
                 match reply {
@@ -337,6 +339,8 @@
     stream: &'a TcpStream,
     frames: &'a mut Frames,
     state: &'a AtomicU8,
+    /// Called when an attempt's last byte has been written.
+    written: &'a dyn Fn(),
 }
 
 /// What a job's replies told of the member.
@@ -372,7 +376,13 @@
         }
         // It broke before the last byte was handed over: it never ran.
         Some(match self.write(&message) {
-            Ok(()) => self.simple(matches!(what, Job::Probe)),
+            Ok(()) => {
+                let probe = matches!(what, Job::Probe);
+                if !probe {
+                    (self.written)();
+                }
+                self.simple(probe)
+            }
             Err(_) => Reply::plain(Outcome::ConnectFailed),
         })
     }
@@ -481,6 +491,7 @@
         if let Err(sent) = self.write(&end) {
             return Some(Reply::plain(if sent == 0 { Outcome::ConnectFailed } else { Outcome::Reset }));
         }
+        (self.written)();
         while let Some(progress) = self.reply(&mut script, catalogue, &mut heard) {
             match progress {
                 Progress::More => {}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,12 +5,13 @@
 pub mod clock;
 pub mod discovery;
 pub mod link;
+pub mod ops;
 
 use crate::config::Config;
 use crate::core::{Core, Effect, Input, LinkId};
 use crate::front::platform::{Platform, Query};
 use crate::front::postgres::{Batch, Listen, Postgres};
-use crate::front::{Answer, ClientId, Desk, Lobby, Out, Said, Work};
+use crate::front::{Answer, ClientId, Desk, Lobby, Out, Said, Service, Work};
 use crate::store::{Change, Replicas, State, Store};
 use crate::{Micros, Settings};
 use clock::Clock;
@@ -40,6 +41,14 @@
 const SERVE_FOR: Micros = 900_000;
 /// How often the loop looks whether all is done after SIGTERM.
 const LOOK: Micros = 20_000;
+/// Taken out of service, connections are closed between requests after this: the front layer asks ten times a
+/// second, and goes on sending for 0.2 s after a no.
+const NOTICED: Micros = 1_000_000;
+/// The share of its descriptors that a proxy keeps to where two processes of it may overlap, for links: the
+/// clients hold as much, and so does the other one.
+const OVERLAP: usize = 3;
+/// After SIGTERM, new connections are taken for this long where the next process accepts them, too.
+const ACCEPT_FOR: Micros = 500_000;
 /// How long the program waits at its end for answers that a client is slow to take.
 const LAST_WRITES: Duration = Duration::from_secs(1);
 
@@ -59,6 +68,8 @@
     Client(ClientId, Said<Query>),
     /// From a reader of the extended front.
     Extended(ClientId, Said<Batch>),
+    /// An operator's call.
+    Operator(ops::Call, ops::Reply),
     /// SIGTERM or SIGINT.
     Terminate,
 }
@@ -71,20 +82,45 @@
     std::thread::Builder::new().name(name.into()).stack_size(STACK).spawn(run).map(drop)
 }
 
+/// The clients' socket: bound here, or held by the platform and inherited.
+pub fn listener(config: &Config) -> Result<TcpListener, String> {
+    use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+    let Some(number) = config.listen_fd else {
+        return TcpListener::bind(config.listen).map_err(|e| format!("{}: {e}", config.listen));
+    };
+    // A duplicate of the own descriptor: the one inherited stays as it is.
+    let own = pidfd_open(getpid(), PidfdFlags::empty());
+    let socket = own.and_then(|own| pidfd_getfd(&own, number, PidfdGetfdFlags::empty()));
+    let socket = socket.map_err(|e| format!("GW_LISTEN_FD {number}: {e}"))?;
+    if !rustix::net::sockopt::socket_acceptconn(&socket).unwrap_or(false) {
+        return Err(format!("GW_LISTEN_FD {number} is no listening socket"));
+    }
+    Ok(TcpListener::from(socket))
+}
+
 /// Serves until it is told to end; on the extended listener too, where there is one.
-pub fn serve(config: &Config, extended: Option<Listen>, replicas: &Replicas) -> std::io::Result<()> {
-    let listener = TcpListener::bind(config.listen)?;
+pub fn serve(
+    config: &Config,
+    listener: TcpListener,
+    extended: Option<Listen>,
+    replicas: &Replicas,
+) -> std::io::Result<()> {
     let bound = extended.as_ref().map(|e| TcpListener::bind(e.listen)).transpose()?;
     let clock = Clock::start();
     let (messages, inbox) = bounded(UNREAD);
     let stored = messages.clone();
     let recovered = move |state: State| drop(stored.try_send(Message::Stored(state.members)));
     let store = Store::start(replicas, config.seed, recovered)?;
-    let budget = config.sockets.saturating_sub(SPARE).max(2);
+    let callers = config.ops.map_or(0, |_| ops::CALLERS);
+    let budget = config.sockets.saturating_sub(SPARE + callers).max(2);
+    let links = match config.listen_fd {
+        Some(_) => (config.sockets / OVERLAP).saturating_sub(SPARE / 2).clamp(2, (budget / 2).max(2)),
+        None => budget / 2,
+    };
     let settings = Arc::new(config.settings.clone());
     let postgres = extended.map(|listen| Postgres::new(listen, settings.clone()).map(Lobby::new));
     let postgres = postgres.transpose().map_err(std::io::Error::other)?;
-    let core = Core::new(config.settings.clone(), config.seed, clock.now(), budget / 2);
+    let core = Core::new(config.settings.clone(), config.seed, clock.now(), links);
     let (alive, written) = bounded(0);
     let memory = config.memory;
     let bounds = client::Bounds {
@@ -118,10 +154,16 @@
         told: config.known.rev,
         watch: Watch::start(0, config.discovery, Some(config.known.rev), config.seed, messages.clone())?,
         ending: None,
+        inherited: config.listen_fd.is_some(),
+        drain_at: None,
     };
     host.store.note(Change::Set("proxy".into(), config.told.clone()));
     let known = Input::List { full: true, members: config.known.members() };
     host.core(clock.now(), known);
+    if let Some(at) = config.ops {
+        let at = ops::listen(at, host.settings.clone(), messages.clone())?;
+        tracing::info!(ops = %at, "operators may call");
+    }
     signals(messages.clone())?;
     tracing::info!(name = config.name, listen = %listen_at, "serving");
     if let Some(at) = extended_at {
@@ -167,6 +209,10 @@
     told: u64,
     /// The watch on the member list; news of an earlier one are stale.
     watch: Watch,
+    /// The platform holds the clients' socket: another process may accept from it.
+    inherited: bool,
+    /// Out of service: connections are closed between requests from then on.
+    drain_at: Option<Micros>,
     /// SIGTERM has come: when, and whether connections are being closed.
     ending: Option<(Micros, bool)>,
 }
@@ -175,7 +221,7 @@
     fn run(&mut self, inbox: &Receiver<Message>) {
         loop {
             let mut due = self.core.due();
-            due = [due, self.ready_at].into_iter().flatten().min();
+            due = [due, self.ready_at, self.drain_at].into_iter().flatten().min();
             if self.ending.is_some() {
                 due = Some(due.unwrap_or(Micros::MAX).min(self.clock.now() + LOOK));
             }
@@ -201,7 +247,15 @@
             if self.ready_at.is_some_and(|at| at <= now) {
                 self.ready(now);
             }
+            if self.drain_at.is_some_and(|at| at <= now) {
+                self.drain_at = None;
+                self.close_idle(now);
+            }
             if let Some((since, closing)) = self.ending {
+                if self.inherited && now >= since + ACCEPT_FOR {
+                    self.inherited = false;
+                    self.ender.hush();
+                }
                 let close = (self.kill_after() - CLOSE_BEFORE).max(SERVE_FOR);
                 // From then on at each look: a connection that came late and says nothing is closed, too.
                 if now >= since + close {
@@ -209,9 +263,7 @@
                         self.ending = Some((since, true));
                         tracing::info!("closing connections between requests");
                     }
-                    let mut outs = self.platform.close();
-                    outs.extend(self.postgres.iter_mut().flat_map(Lobby::close));
-                    self.carry_out(now, outs);
+                    self.close_idle(now);
                 }
                 let open = self.platform.open() + self.postgres.as_ref().map_or(0, Lobby::open);
                 let done = open == 0 && self.core.owed() == 0;
@@ -223,6 +275,13 @@
         }
     }
 
+    /// From now on, connections are closed between requests.
+    fn close_idle(&mut self, now: Micros) {
+        let mut outs = self.platform.close();
+        outs.extend(self.postgres.iter_mut().flat_map(Lobby::close));
+        self.carry_out(now, outs);
+    }
+
     /// When SIGKILL may come after SIGTERM. Guards against being down for longer than a restart takes: until
     /// shortly before it, the connections that are open are served.
     fn kill_after(&self) -> Micros {
@@ -274,6 +333,21 @@
                 let outs = self.platform.said(&mut self.desk, now, id, said);
                 self.carry_out(now, outs);
             }
+            Message::Operator(call, reply) => {
+                let told = match call {
+                    ops::Call::Ready => ops::Told::Whether(self.ready_at.is_none()),
+                    ops::Call::Counters => ops::Told::Counters(self.core.tally()),
+                    ops::Call::Service(on) => {
+                        tracing::info!(on, "an operator says whether this proxy is in service");
+                        self.drain_at = (!on).then_some(now + NOTICED);
+                        self.ready_at = None;
+                        self.serve(now, if on { Service::In } else { Service::Out });
+                        ops::Told::Whether(true)
+                    }
+                };
+                // The caller may have gone.
+                let _ = reply.try_send(told);
+            }
             Message::Terminate => {
                 if self.ending.is_none() {
                     tracing::info!("told to end");
@@ -308,11 +382,18 @@
 
     fn ready(&mut self, now: Micros) {
         if self.ready_at.take().is_some() {
-            let outs = self.platform.ready(&mut self.desk, now);
-            self.carry_out(now, outs);
+            self.serve(now, Service::In);
         }
     }
 
+    fn serve(&mut self, now: Micros, service: Service) {
+        let mut outs = self.platform.serve(service, &mut self.desk, now);
+        if let Some(postgres) = &mut self.postgres {
+            outs.extend(postgres.serve(service, &mut self.desk, now));
+        }
+        self.carry_out(now, outs);
+    }
+
     fn accepted(&mut self, now: Micros, id: ClientId, handle: client::Handle) {
         if self.clients.len() >= self.most_clients && !self.evict(now) {
             tracing::debug!("no room for another client");
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -17,6 +17,8 @@
 
 /// SQLSTATE: the message or the statement is not what the protocol allows.
 pub const PROTOCOL_VIOLATION: &str = "08P01";
+/// SQLSTATE: the proxy is not to be sent clients.
+pub const OUT_OF_SERVICE: &str = "57P03";
 /// SQLSTATE: refused, trying again is harmless.
 pub const TOO_MANY: &str = "53300";
 /// SQLSTATE: failed, and it may have taken effect.
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -4,5 +4,6 @@
 
 mod daemon;
 mod extended;
+mod operations;
 mod platform;
 mod rig;
--- /dev/null
+++ b/tests/proxy/operations.rs
@@ -0,0 +1,138 @@
+//! Operators' calls, draining and upgrades.
+
+use crate::rig::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::process::Stdio;
+
+const OPS: &str = "export GW_OPS=127.0.0.1:0; exec \"$0\" serve";
+
+fn figure(text: &str, name: &str) -> u64 {
+    let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
+    line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+}
+
+#[test]
+fn the_counters_say_what_clients_and_members_saw() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_by(&[&primary], OPS, "");
+    assert_eq!(proxy.control("GET", "ready").0, 200);
+    let mut client = proxy.client();
+    let served = (1..=3).filter(|id| client.query(&read(*id)).starts_with("T D"));
+    assert_eq!(served.count(), 3);
+    primary.plan(&[Does::Error("XX000")]);
+    assert_eq!(client.query(&write(4, 900)), "E(08007) Z");
+    primary.plan(&[Does::Hang(b'Q'), Does::Serve]);
+    let mut gone = proxy.client();
+    gone.send(&simple(&write(5, 3000)));
+    primary.wait("hang");
+    assert_eq!(client.query(&write(6, 3000)), "T D(value) C Z");
+    let pending = proxy.control("GET", "counters").1;
+    assert_eq!(figure(&pending, "pending"), 1);
+    assert_eq!(figure(&pending, "upstream_requests"), primary.log().len() as u64);
+    drop(gone);
+    // The member sees its connection end once the proxy knows that the client has left.
+    primary.wait("end");
+    insta::assert_snapshot!(proxy.control("GET", "counters").1, @r"
+    downstream_requests.own.completed=0
+    downstream_requests.own.rejected=0
+    downstream_requests.own.failed=0
+    downstream_requests.any.completed=3
+    downstream_requests.any.rejected=0
+    downstream_requests.any.failed=0
+    downstream_requests.write.completed=1
+    downstream_requests.write.rejected=0
+    downstream_requests.write.failed=1
+    upstream_requests=6
+    pending=0
+    members=1
+    members_unavailable=0
+    ");
+}
+
+#[test]
+fn calls_that_are_wrong_get_an_error_and_slow_callers_hold_nobody_up() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_by(&[&primary], OPS, "");
+    let slow: Vec<_> = (0..8).map(|_| TcpStream::connect(proxy.ops.unwrap()).unwrap()).collect();
+    (&slow[0]).write_all(b"GET /control/re").unwrap();
+    assert_eq!(proxy.control("GET", "ready"), (200, "yes\n".into()));
+    assert_eq!(proxy.control("GET", "nothing").0, 404);
+    assert_eq!(proxy.control("PUT", "ready").0, 405);
+    assert_eq!(proxy.control("GET", "out-of-service").0, 405);
+    assert!(proxy.call(b"\0\x01 what\r\n\r\n").starts_with("HTTP/1.1 400 "));
+    assert!(proxy.call(&[b'a'; 20_000]).starts_with("HTTP/1.1 4"));
+    for mut stream in slow {
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+    }
+}
+
+#[test]
+fn out_of_service_sends_clients_away_and_in_service_takes_them_back() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_by(&[&primary], OPS, "");
+    let mut client = proxy.client();
+    assert_eq!(proxy.control("PUT", "out-of-service").0, 200);
+    assert_eq!(proxy.client().query(""), "E(57P03) Z");
+    assert_eq!(client.query(&write(1, 900)), "T D(value) C Z", "open connections are served");
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut busy = proxy.client();
+    busy.send(&simple(&write(2, 2500)));
+    primary.wait("hang");
+    assert_eq!(client.answer(), "end", "closed between requests");
+    assert_eq!(busy.answer(), "E(08007) Z", "a request under way gets its answer first");
+    assert_eq!(busy.answer(), "end");
+    assert_eq!(proxy.control("PUT", "in-service").0, 200);
+    let mut client = proxy.client();
+    assert_eq!(client.query(""), "I Z");
+    assert_eq!(client.query(&read(3)), "T D(value) C Z");
+}
+
+#[test]
+fn an_upgrade_turns_nobody_back() {
+    let primary = Server::start(true);
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let shell = "export GW_LISTEN_FD=0; exec \"$0\" serve";
+    let start = || {
+        let socket: OwnedFd = socket.try_clone().unwrap().into();
+        Proxy::start_on(Stdio::from(socket), &[&primary], shell, "", "\"sockets\":256")
+    };
+    let mut old = start();
+    let mut client = old.client();
+    assert_eq!(client.query(&read(1)), "T D(value) C Z");
+    let new = start();
+    assert_eq!(old.address, new.address);
+    old.signal("-TERM");
+    // One after the other until the old one has ended; each is accepted by whichever comes first.
+    let mut id = 10;
+    while old.child.try_wait().unwrap().is_none() {
+        assert_eq!(new.client().query(&read(id)), "T D(value) C Z");
+        id += 1;
+    }
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(client.answer(), "end", "the old connection was closed between requests");
+    assert_eq!(new.client().query(&read(2)), "T D(value) C Z");
+}
+
+#[test]
+fn an_inherited_descriptor_that_is_no_listener_is_a_bad_configuration() {
+    let file = std::env::temp_dir().join(format!("liftrelay-fd-{}", std::process::id()));
+    let discovery = Discovery::start(String::new());
+    std::fs::write(&file, configuration(&discovery)).unwrap();
+    for number in ["0", "77", "three"] {
+        let out = std::process::Command::new(env!("CARGO_BIN_EXE_liftrelay"))
+            .arg("serve")
+            .env("GW_CONFIG", &file)
+            .env("GW_LISTEN_FD", number)
+            .stdin(Stdio::null())
+            .output()
+            .unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(2), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+    std::fs::remove_file(file).unwrap();
+}
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -324,6 +324,7 @@
     pub child: Child,
     pub address: SocketAddr,
     pub extended: Option<SocketAddr>,
+    pub ops: Option<SocketAddr>,
     pub discovery: Discovery,
     folder: std::path::PathBuf,
 }
@@ -372,6 +373,11 @@
 
     /// The same within these limits.
     pub fn start_in(servers: &[&Server], shell: &str, file: &str, limits: &str) -> Proxy {
+        Proxy::start_on(Stdio::null(), servers, shell, file, limits)
+    }
+
+    /// The same with this as descriptor 0.
+    pub fn start_on(stdin: Stdio, servers: &[&Server], shell: &str, file: &str, limits: &str) -> Proxy {
         let targets: Vec<_> = servers.iter().enumerate().map(|(n, s)| target(n, s, "SERVING")).collect();
         let list = whole(1, &targets);
         // Without members, discovery is down: it takes a watch and says nothing.
@@ -395,20 +401,24 @@
             .env("GW_CONFIG", &config)
             .env_remove("GW_LISTEN")
             .env_remove("GW_DISCOVERY")
+            .stdin(stdin)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
         let wants_extended = shell.contains("--postgres");
-        let (mut address, mut extended) = (None, None);
+        let (mut address, mut extended, mut ops) = (None, None, None);
         while address.is_none() || (wants_extended && extended.is_none()) {
             let line = lines.next().expect("the program says where it listens");
+            if let Some((_, at)) = line.split_once(" ops=") {
+                ops = Some(at.split('"').nth(1).unwrap().parse().unwrap());
+            }
             let Some((_, at)) = line.split_once("listen=") else { continue };
             let at = at.split('"').nth(1).unwrap().parse().unwrap();
             *if line.contains("extended") { &mut extended } else { &mut address } = Some(at);
         }
         std::thread::spawn(move || lines.for_each(drop));
-        let proxy = Proxy { child, address: address.unwrap(), extended, discovery, folder };
+        let proxy = Proxy { child, address: address.unwrap(), extended, ops, discovery, folder };
         proxy.discovery.watched();
         let mut client = proxy.client();
         assert_eq!(client.query(""), "I Z", "ready once an empty query is answered");
@@ -423,6 +433,23 @@
         Client::open(self.extended.unwrap())
     }
 
+    /// What an operator who says this hears.
+    pub fn call(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.ops.unwrap()).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    /// The status and the text of an operator's call.
+    pub fn control(&self, method: &str, path: &str) -> (u16, String) {
+        let said = self.call(format!("{method} /control/{path} HTTP/1.1\r\nHost: proxy\r\n\r\n").as_bytes());
+        let (head, text) = said.split_once("\r\n\r\n").unwrap();
+        (head.split(' ').nth(1).unwrap().parse().unwrap(), text.to_string())
+    }
+
     /// The file that the shell command knew as `$2`.
     pub fn file(&self) -> std::path::PathBuf {
         self.folder.join("more.toml")
