--- a/src/balance.rs
+++ b/src/balance.rs
@@ -518,7 +518,7 @@
             let won = self.cold_stake(s, class, comes);
             return if won { Choice::To(s, self.servers[s].aside) } else { Choice::Hold };
         }
-        // Departure: half of the attempts go into the first round, the last is kept for a primary that is known.
+        // Departure: half of the attempts go into the first round, the last is for a primary that is known.
         // Guards against a write that asks all of a group amid a handover and has none left afterwards.
         let most = self.cfg.max_attempts;
         if p.attempts + 1 >= most || (p.missed > 0 && p.attempts >= most / 2) {
@@ -545,7 +545,7 @@
         Choice::To(s, true)
     }
 
-    /// Holds a request, ever longer. Guards against a primary that refuses connections and uses up all attempts.
+    /// Holds a request, ever longer. Guards against a primary that refuses connections using all attempts up.
     fn rest(&mut self, id: RequestId) -> Choice {
         let (now, most) = (self.now, self.cfg.max_attempts);
         let p = self.requests.get_mut(&id).expect("checked by the caller");
@@ -669,8 +669,8 @@
     }
 
     /// Departure: a cold member gets a share of what a warm one serves for this router. Work too small for a
-    /// request is staked on a draw, only for the member picked: any number of routers stay under what knocks it
-    /// over together. What comes to its primary stakes, on credit, the budget's share of all that its group is
+    /// request is staked on a draw, only for the member picked: all routers together stay under what knocks
+    /// it over. What comes to its primary stakes, on credit, the budget's share of all that its group is
     /// asked. Guards against starving a class that each of many routers sees once in a while.
     fn cold_stake(&mut self, s: usize, class: usize, credit: bool) -> bool {
         if !self.cold(&self.servers[s]) {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -242,8 +242,8 @@
         long.max()
     }
 
-    /// Connections that have asked for something, and the one of them that was idle longest, with the time from
-    /// which it may be closed.
+    /// Connections that have asked for something, and the one of them that was idle longest, with the time
+    /// from which it may be closed.
     pub fn kept(&self) -> (usize, Option<(Micros, ClientId)>) {
         let asked = self.clients.iter().filter(|(_, c)| c.asked);
         let idle = asked.clone().filter(|(_, c)| c.busy.is_none() && c.queue.is_empty());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -44,8 +44,8 @@
 /// Taken out of service, connections are closed between requests after this: the front layer asks ten times a
 /// second, and goes on sending for 0.2 s after a no.
 const NOTICED: Micros = 1_000_000;
-/// Clients hold a third of the descriptors at most. From this part of them on, connections that are kept for good
-/// are closed once they may be.
+/// Clients hold a third of the descriptors at most. From this part of them on, connections that are kept for
+/// good are closed once they may be.
 const KEPT: usize = 4;
 /// The share of its descriptors that a proxy keeps to where two processes of it may overlap, for links: the
 /// clients hold as much, and so does the other one.
@@ -436,8 +436,8 @@
     }
 
     /// The connection to close next where many are kept. Guards against clients that ask once and keep their
-    /// connection for good: with all that clients may hold in such hands, nobody else gets in, however much room
-    /// this proxy has.
+    /// connection for good: with all that clients may hold in such hands, nobody else gets in, however much
+    /// room this proxy has.
     fn kept(&self) -> Option<(Micros, ClientId)> {
         let (asked, idlest) = self.platform.kept();
         let (more, idler) = self.postgres.as_ref().map_or((0, None), Lobby::kept);
