A group's rare attempts weigh as much as what has faded of it since

And groups that were well were shed for it: 11.166 GU c=2 g=30 at=0 w0=0.00 w1=0.00 a0=0.63 a1=0.54 luck=0.13 m=a728:0/6.0,dabf:0/6.0,9d2b:0/6.0 A router gets to a group's primary once in seconds. What it knows fades to the mean of all groups within 5 s, while each attempt weighs 0.15: a hot group never stood out, each of 279 routers sent on what it would not take.

Change: an attempt weighs as much as what has faded of its group's wait since the last one, and 0.15 at least. No new constant. Ruled out: hung members (time-outs lie at primaries of hot groups), a lasting handover (there was none).

The test refuses 0 of 200 without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -909,7 +909,8 @@
         let (part, own) = (self.part(s), self.waited(s));
         self.wait[part] += (wait - self.wait[part]) * PRESS_GAIN;
         if let Some(g) = self.groups.get_mut(&self.servers[s].group) {
-            g.wait[part] = (own + (wait - own) * PRESS_GAIN, self.now);
+            let rare = 1.0 - (-((self.now - g.wait[part].1) as f64) / WAIT_FADE).exp();
+            g.wait[part] = (own + (wait - own) * rare.max(PRESS_GAIN), self.now);
         }
         let v = &mut self.servers[s];
         v.quick = if wait == 0.0 { v.quick.max(sent) } else { v.quick };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -634,3 +634,34 @@
     };
     assert!(out_at_once(0.1) < out_at_once(1000.0));
 }
+
+/// Guards against hundreds of routers that each see a group once in seconds and take minutes to learn that it is
+/// overloaded: together they keep it so.
+#[test]
+fn a_group_seen_once_in_seconds_is_spared_after_a_few_waits() {
+    let mut rig = Rig::known(settings(), 3);
+    let other = |n| Member { group: 2, ..member(n) };
+    rig.event(Event::List { full: false, members: (11..=13).map(other).collect() });
+    (11..=13).for_each(|s| rig.report(s, if s == 11 { Role::Primary } else { Role::Replica }, rig.now));
+    let ask = |rig: &mut Rig, id: u32, group, elapsed| {
+        let actions = rig.event(Event::Request(Request { group, ..request(id, ANY) }));
+        let to = sent(&actions);
+        to.map(|to| {
+            rig.pass(elapsed);
+            let took = Ended { elapsed, ..ended(id, 0, to, Outcome::Ok) };
+            rig.event(Event::Outcome(took))
+        });
+        to.is_some()
+    };
+    let (mut refused, mut well) = (0, 0);
+    for round in 0..200 {
+        for id in 0..20 {
+            rig.pass(100 * MS);
+            well += usize::from(!ask(&mut rig, 10_000 + round * 20 + id, 2, 20 * MS));
+        }
+        // Its answers take three times the aim.
+        refused += usize::from(!ask(&mut rig, 1 + round, 1, 1200 * MS));
+    }
+    assert!(refused >= 15, "{refused} of 200 refused where all wait");
+    assert_eq!(well, 0, "refused where nobody waits");
+}
