--- a/tests/proxy/platform.rs
+++ b/tests/proxy/platform.rs
@@ -488,6 +488,32 @@
     assert_eq!(kept[31].1.query(&read(99)), "T D(value) C Z", "with fewer, the others stay");
 }
 
+/// Guards against reads that all go to the primary where members answer from what they have, however old: each of
+/// many proxies comes by too seldom to know how fresh a replica is. Both fronts.
+#[test]
+fn reads_ask_a_replica_how_fresh_it_is_where_members_do_not_check() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    let silent = "sed -i 's/\"hold\"/\"silent\"/;s/\"loose\"/\"recent\"/;s/\"counted_from_us\"/\
+        \"class_bound_us\":[0,20000,0],&/' \"$GW_CONFIG\"";
+    let shell = &format!("{silent}; exec \"$0\" serve --postgres \"$1\"");
+    let proxy = Proxy::start_by(&[&primary, &replica], shell, "");
+    let (mut platform, mut extended) = (proxy.client(), proxy.extended());
+    assert_eq!(platform.query(&write(0, 900)), "T D(value) C Z", "the primary is known");
+    for id in 1..=24 {
+        // What was heard of the replica before is older than a read may be.
+        std::thread::sleep(std::time::Duration::from_millis(30));
+        if id % 2 == 0 {
+            assert_eq!(platform.query(&read(id)), "T D(value) C Z");
+        } else {
+            let unit = "P - SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */ | B - - r | E - | S";
+            extended.send(&messages(unit));
+            assert_eq!(extended.answer(), "1 2 D(value) C Z");
+        }
+    }
+    // A slow machine may let some go to the primary; of 24, one or two met a probe that came by itself.
+    assert!(replica.runs() >= 12, "{} of 24 reads went to the replica", replica.runs());
+}
+
 /// No list is too long: a thousand members and as many processes of the proxy, within a small limit of memory and
 /// descriptors.
 #[test]
