Replicas of the store that start alike elect a leader: the id goes into their seed

Cause: a replica's seed was its process id with the lowest bit set (store/mod.rs: seed | 1), so that two replicas with process ids 2k and 2k+1 drew the same moments for their elections and split each vote.

Change: the replica's id goes into the seed. The test draws 20 moments with one seed: all 20 collided before, fewer than 5 may.

--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -190,7 +190,7 @@
         };
         let ids: Vec<_> = replicas.replica.iter().map(|r| r.id).collect();
         replicas.check().map_err(Error::other)?;
-        let raft = Raft::new(replicas.id, &ids, saved, seed | 1, clock.now());
+        let raft = Raft::new(replicas.id, &ids, saved, seed, clock.now());
         let (words, inbox) = bounded(WAITING);
         let mut peers = HashMap::new();
         for replica in &replicas.replica {
--- a/src/store/raft.rs
+++ b/src/store/raft.rs
@@ -178,7 +178,8 @@
             base: snapshot,
             log: entries,
             due: now,
-            seed,
+            // Replicas that are started alike must not stand for election at the same moments for ever.
+            seed: seed.wrapping_add(u64::from(id).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
             out: Vec::new(),
             unsaved: None,
         };
@@ -617,6 +618,14 @@
         assert!(said.iter().any(granted), "{said:?}");
     }
 
+    #[test]
+    fn replicas_started_alike_choose_different_moments() {
+        let mut two = [0, 1].map(|n| Raft::<Sum>::new(n, &[0, 1, 2], Saved::default(), 77, 0));
+        let moments = two.each_mut().map(|r| (0..20).map(|_| r.random(ELECTION)).collect::<Vec<_>>());
+        let close = moments[0].iter().zip(&moments[1]).filter(|(a, b)| a.abs_diff(**b) < 10_000).count();
+        assert!(close < 5, "{close} of 20 elections collide");
+    }
+
     #[test]
     fn what_is_said_comes_after_what_is_saved() {
         let mut alone: Raft<Sum> = Raft::new(0, &[0], Saved::default(), 1, 0);
