At a primary, work that replicas could do ranks below what only it can do

Cause: reads that no replica is fresh enough for, or that found replicas full, came to primaries with the same rank as writes.

Change: at a primary, what a replica could do has its rank multiplied by ROOM_CHEAP. No new constant.

Without the change the test finds nine reads at the primary and nine at its replica.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -643,6 +643,8 @@
         // Writes rank by what is left of their own worth, as they can go nowhere but to the primary.
         let best = if class.need == Need::Write { class.worth / self.base[p.req.class].0 } else { top };
         let rank = (p.worth / self.base[p.req.class].0 / best.max(1e-12)).clamp(0.0, 1.0).sqrt();
+        // A primary is kept for what only it can do: all else ranks lower there.
+        let rank = if self.part(s) > self.bound(p.req.class) { rank * ROOM_CHEAP } else { rank };
         let limit = self.servers[s].limit * (ROOM_CHEAP + (ROOM_DEAR - ROOM_CHEAP) * rank);
         let busy = self.work(&self.served, |_| 1.0) / self.sharing.max(1.0) / 1e6;
         let shed = ((self.waited(s) - SHED_FROM) / SHED_SPAN).clamp(0.0, 1.0) / (1.0 + SHED_LESS * busy);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -665,3 +665,18 @@
     assert!(refused >= 15, "{refused} of 200 refused where all wait");
     assert_eq!(well, 0, "refused where nobody waits");
 }
+
+/// Guards against a primary that is filled up with what its replicas could do, and writes that find no room there.
+#[test]
+fn reads_that_replicas_could_do_leave_a_primary_its_room() {
+    let mut rig = Rig::known(settings(), 2);
+    let mut at = [0; 3];
+    for id in 1..=40 {
+        if let Some(to) = sent(&rig.ask(id, ANY)) {
+            at[to as usize] += 1;
+        }
+    }
+    assert!(at[1] < at[2] && at[1] > 0, "{at:?}: some go to the primary, fewer than to its replica");
+    let writes = (100..110).filter(|id| sent(&rig.ask(*id, WRITE)) == Some(1)).count();
+    assert!(writes >= 3, "{writes} of 10 writes found room behind {} reads", at[1]);
+}
