--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,6 +52,7 @@
 const UNTOLD: Micros = 4_000_000; // The list tells of a restart within this; until then back is just started.
 const IN_USE: usize = 2; // Of equals, so many replicas of a group are used while their connections last.
 const USED: Micros = 80; // A connection is taken to last for so many hundredths of what a member allows.
+const NOTICE: Micros = 100_000; // What an answer tells counts as known this long after it was written.
 const STALL: Micros = 100_000; // A tick later than this means that the router itself stood still.
 const COMMITS_KEPT: usize = 20_000; // Remembered commits before the settled ones are dropped.
 const TURN_START: u64 = 1 << 16; // Turns are drawn below this for members not sent to yet.
@@ -174,9 +175,9 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         let base = settings.classes.iter().map(|c| (c.aim as f64 * BASE_GUESS, 0.0, 0, false)).collect();
         let rates = vec![(0.0, now); settings.classes.len()];
-        let tenant_rate = vec![(0.0, now); settings.quotas.len()];
         Router {
             unchecked: settings.when_behind == WhenBehind::Answers,
+            tenant_rate: vec![(0.0, now); settings.quotas.len()],
             cfg: settings,
             seed,
             now,
@@ -187,7 +188,6 @@
             retries: 1.0,
             trials: 1.0,
             sends: TURN_START,
-            tenant_rate,
             ..Router::default()
         }
     }
@@ -239,9 +239,8 @@
 
     fn random(&mut self, below: u64) -> u64 {
         self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.seed;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        let z = (self.seed ^ (self.seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         (z ^ (z >> 31)) % below.max(1)
     }
 
@@ -538,8 +537,7 @@
 
     /// Reads: the replica with the fewest pending among those that are well and expected to be fresh enough.
     fn choose_replica(&mut self, id: RequestId, out: &mut Vec<Action>) -> Choice {
-        let p = &self.requests[&id];
-        let index = p.req.class;
+        let (p, index) = (&self.requests[&id], self.requests[&id].req.class);
         let mut open = self.groups[&p.req.group].members.clone();
         open.retain(|s| self.usable(*s) && !p.tried.contains(s));
         let any_well = self.groups[&p.req.group].members.iter().any(|s| self.well(*s));
@@ -745,15 +743,14 @@
         let now = self.now;
         let Some(class) = self.requests.get(&id).map(|p| p.req.class) else { return };
         let (saved, bound) = (self.cold_saved(s, class), self.bound(class));
+        let within = if self.unchecked { self.begins(&self.requests[&id], s) } else { Micros::MAX };
         let p = self.requests.get_mut(&id).expect("just found");
-        let class = &self.cfg.classes[p.req.class];
-        let base = self.base[p.req.class].0;
+        let (class, base) = (&self.cfg.classes[class], self.base[class].0);
         let end = if class.late_share > 0.0 || now >= p.aim_at { p.deadline } else { p.aim_at };
         let most = match class.effect {
-            Effect::Unsafe => f64::INFINITY,
-            _ if search => base * TRIAL_TIME,
+            _ if search && class.effect != Effect::Unsafe => base * TRIAL_TIME,
             Effect::Keyed { window, .. } => (window as f64 * WINDOW_TRY).max(KEYED_TIME * base),
-            Effect::Safe => f64::INFINITY,
+            Effect::Safe | Effect::Unsafe => f64::INFINITY,
         };
         let timeout = (end - now).min(most as Micros);
         let attempt = p.attempts;
@@ -764,15 +761,24 @@
         v.out.push(Out { request: id, attempt, sent: now, class: p.req.class });
         v.cold_work[bound] = ((saved - base).max(-base), now);
         v.trial_at = v.trial_at.max(now + TRIAL_WAIT);
-        out.push(Action::Send { request: id, server: v.id, timeout: timeout.max(1) });
+        out.push(Action::Send { request: id, server: v.id, timeout: timeout.max(1), within });
+    }
+
+    /// Departure: how long an attempt may wait for its connection where members do not check. Guards against
+    /// data that was fresh enough when a member was picked, and a primary that is none any more.
+    fn begins(&self, p: &Pending, s: usize) -> Micros {
+        match (self.cfg.classes[p.req.class].need, self.part(s)) {
+            (Need::Any | Need::Write, _) | (Need::OwnWrites | Need::Latest, 0) => Micros::MAX,
+            (Need::Recent(bound), 0) => (self.servers[s].position + bound).saturating_sub(self.now),
+            _ => NOTICE / 2,
+        }
     }
 
     /// The final answer of a request that is given up, at once.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(p) = self.requests.get(&id) else { return };
-        let class = &self.cfg.classes[p.req.class];
-        let anywhere = matches!(class.effect, Effect::Safe | Effect::Keyed { anywhere: true, .. });
-        let aim = class.aim;
+        let Class { effect, aim, .. } = self.cfg.classes[p.req.class];
+        let anywhere = matches!(effect, Effect::Safe | Effect::Keyed { anywhere: true, .. });
         if anywhere || (p.ran.is_none() && p.flying.is_none()) {
             let wait = aim / 2 + self.random(aim / 2);
             let retry_after = if self.cfg.retry_after { wait.min(self.cfg.max_retry_after) } else { 0 };
@@ -882,7 +888,7 @@
                 self.finish(id, out);
             } else {
                 let usual = if outcome == Outcome::Full { 1.0 } else { elapsed as f64 / base };
-                let cost = if outcome == Outcome::Miss { 0.0 } else { usual.min(1.0) };
+                let cost = if matches!(outcome, Miss | Moot) { 0.0 } else { usual.min(1.0) };
                 if self.retries < cost {
                     self.give_up(id, out);
                 } else {
@@ -896,8 +902,7 @@
     }
 
     /// Learns from the time that an attempt took: limits, waits, and the class's unloaded time.
-    fn took(&mut self, s: usize, attempt: Out, elapsed: Micros, answered: bool) {
-        let Out { sent, class, .. } = attempt;
+    fn took(&mut self, s: usize, Out { sent, class, .. }: Out, elapsed: Micros, answered: bool) {
         // Departure: what was out while this router stood still tells of the router, not of the member.
         if sent < self.stalled {
             return;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,11 +8,11 @@
 pub use pool::LinkId;
 
 use crate::{
-    Action, Effect as Repeats, Ended, Event, Member, Micros, Note, Outcome, Report, RequestId, Router,
-    ServerId, Settings,
+    Action, Effect as Repeats, Ended, Event, Listed, Member, Micros, Note, Outcome, Report, RequestId,
+    Router, ServerId, Settings,
 };
 use pool::Pool;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use timers::Timers;
@@ -57,6 +57,8 @@
         work: Arc<W>,
         /// For how long this proxy will wait.
         allowed: Micros,
+        /// It is not begun later than this from now.
+        within: Micros,
         /// Make sure first that the connection still leads to the member.
         check: bool,
     },
@@ -174,6 +176,13 @@
         /// Which job.
         job: JobId,
     },
+    /// Withdraw a job if it has not begun; answered by [`Input::Abandoned`] at once if so.
+    Recall {
+        /// Which link.
+        link: LinkId,
+        /// Which job.
+        job: JobId,
+    },
     /// Close an idle link.
     Close(LinkId),
     /// Give the one final answer.
@@ -203,6 +212,13 @@
     dropping: Option<Outcome>,
 }
 
+impl Running {
+    /// It is an attempt for this request.
+    fn serves(&self, id: RequestId) -> bool {
+        matches!(self.purpose, Purpose::Attempt { request, .. } if request == id)
+    }
+}
+
 /// What the reducer has counted since the start, and how things stand.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tally {
@@ -228,13 +244,16 @@
     safe: bool,
     /// It must run at most once.
     once: bool,
-    /// An attempt may have run.
-    ran: bool,
+    /// Repeats are dropped for so long.
+    window: Option<Micros>,
+    /// When the first attempt that may have run was sent.
+    ran: Option<Micros>,
 }
 
 enum Alarm {
     Module(u32),
     Job(JobId),
+    Begun(JobId),
     Deadline(RequestId),
     Sweep,
 }
@@ -300,20 +319,26 @@
                 if self.requests.remove(&request).is_some() {
                     self.tally.abandoned += 1;
                     self.tell(now, Event::ClientLeft(request));
+                    self.recall(|_, r| r.serves(request));
                 }
             }
             Input::List { full, members } => {
                 let close = &mut |link| self.effects.push(Effect::Close(link));
                 self.pool.listed(now, full, &members, close);
+                let (mut out, mut stay) = (BTreeSet::new(), BTreeSet::new());
+                for (m, _) in &members {
+                    let _ = if m.listed == Listed::Ready { &mut stay } else { &mut out }.insert(m.server);
+                }
                 let members = members.into_iter().map(|(m, _)| m).collect();
                 self.tell(now, Event::List { full, members });
+                self.recall(|_, r| out.contains(&r.server) || (full && !stay.contains(&r.server)));
             }
             Input::Ended { link, job, ending, open } => {
-                self.pool.free(link, open, now);
+                self.free(now, link, open);
                 self.settle(now, job, ending);
             }
             Input::Written => self.tally.attempts += 1,
-            Input::Idle(link) => self.pool.free(link, true, now),
+            Input::Idle(link) => self.free(now, link, true),
             Input::Stale => self.doubt = now + DOUBT,
             Input::Closed(link) => {
                 self.pool.closed(link);
@@ -337,11 +362,27 @@
         std::mem::take(&mut self.effects)
     }
 
+    fn free(&mut self, now: Micros, link: LinkId, open: bool) {
+        if !self.pool.free(link, open, now) {
+            self.effects.push(Effect::Close(link));
+        }
+    }
+
+    /// Withdraws the attempts among these that have not begun. Guards against one that waits for its link to
+    /// come up, or to be checked, and begins when its client has gone or its member has been told to drain.
+    fn recall(&mut self, which: impl Fn(JobId, &Running) -> bool) {
+        let waits = |r: &Running| matches!(r.purpose, Purpose::Attempt { .. }) && r.dropping.is_none();
+        let jobs = self.jobs.iter().filter(|(job, r)| waits(r) && which(**job, r));
+        self.effects.extend(jobs.map(|(job, r)| Effect::Recall { link: r.link, job: *job }));
+    }
+
     fn due_now(&mut self, now: Micros) {
         while let Some(alarm) = self.timers.pop(now) {
             match alarm {
                 Alarm::Module(token) => self.tell(now, Event::Timer(token)),
                 Alarm::Job(job) => self.abandon(job, Outcome::TimedOut),
+                // It must have begun: what it rests on holds no more.
+                Alarm::Begun(job) => self.recall(|id, _| id == job),
                 Alarm::Deadline(request) => self.overdue(now, request),
                 Alarm::Sweep => {
                     self.timers.set(now + SWEEP, Alarm::Sweep);
@@ -363,11 +404,13 @@
             return self.answer(id, request.class, Verdict::Refused { retry_after: 0 });
         }
         let (safe, once) = (class.effect == Repeats::Safe, class.effect == Repeats::Unsafe);
+        let window = if let Repeats::Keyed { window, .. } = class.effect { Some(window) } else { None };
         request.remaining = request.remaining.saturating_sub(MARGIN);
         request.remaining = request.remaining.min(self.end.saturating_sub(now)).max(1_000);
         let deadline = now + request.remaining;
         let class = request.class;
-        self.requests.insert(id, Held { class, work, deadline, attempts: 0, safe, once, ran: false });
+        let held = Held { class, work, deadline, attempts: 0, safe, once, window, ran: None };
+        self.requests.insert(id, held);
         self.timers.set(deadline + GUARD, Alarm::Deadline(id));
         self.tell(now, Event::Request(request));
     }
@@ -375,19 +418,14 @@
     /// Guards against a request that the module still holds at its deadline: the client is owed its answer.
     fn overdue(&mut self, now: Micros, id: RequestId) {
         let Some(held) = self.requests.remove(&id) else { return };
-        let out = self
-            .jobs
-            .values()
-            .any(|r| matches!(r.purpose, Purpose::Attempt { request, .. } if request == id));
-        let harmless = held.safe || !(held.ran || out);
-        let verdict = if harmless {
-            Verdict::Refused { retry_after: 0 }
-        } else {
-            Verdict::Failed { ran: held.ran || out }
-        };
+        let out = self.jobs.values().any(|r| r.serves(id));
+        let ran = held.ran.is_some() || out;
+        let harmless = held.safe || !ran;
+        let verdict = if harmless { Verdict::Refused { retry_after: 0 } } else { Verdict::Failed { ran } };
         self.effects.push(Effect::Log(format!("request {id} was held past its deadline")));
         self.answer(id, held.class, verdict);
         self.tell(now, Event::ClientLeft(id));
+        self.recall(|_, r| r.serves(id));
     }
 
     /// The one place where a final answer is given and counted.
@@ -409,8 +447,8 @@
             self.router.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 match action {
-                    Action::Send { request, server, timeout } => {
-                        todo.extend(self.send(now, request, server, timeout));
+                    Action::Send { request, server, timeout, within } => {
+                        todo.extend(self.send(now, request, server, timeout, within));
                     }
                     Action::Refuse { request, retry_after } => {
                         if let Some(held) = self.requests.remove(&request) {
@@ -419,7 +457,7 @@
                     }
                     Action::Fail(request) => {
                         if let Some(held) = self.requests.remove(&request) {
-                            self.answer(request, held.class, Verdict::Failed { ran: held.ran });
+                            self.answer(request, held.class, Verdict::Failed { ran: held.ran.is_some() });
                         }
                     }
                     Action::Cancel { request, attempt } => {
@@ -448,14 +486,24 @@
     }
 
     /// Starts an attempt, or returns the event that says why it was not sent.
-    fn send(&mut self, now: Micros, request: RequestId, server: ServerId, timeout: Micros) -> Option<Event> {
+    fn send(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        server: ServerId,
+        timeout: Micros,
+        within: Micros,
+    ) -> Option<Event> {
         let held = self.requests.get_mut(&request)?;
         let attempt = held.attempts;
         held.attempts += 1;
         let allowed = timeout.min(held.deadline.saturating_sub(now)).max(1_000);
         let work = held.work.clone();
         // Guards against a second effect, whatever the module asks for.
-        let (barred, once, doubt) = (held.ran && held.once, held.once, self.doubt);
+        let (barred, once, doubt) = (held.ran.is_some() && held.once, held.once, self.doubt);
+        // Guards against a repeat that waits for its connection until its window is over.
+        let window = held.ran.zip(held.window).map(|(ran, window)| (ran + window).saturating_sub(now));
+        let within = within.min(window.unwrap_or(Micros::MAX));
         if !barred && attempt < self.settings.max_attempts {
             let purpose = Purpose::Attempt { request, attempt };
             if self.start(now, server, purpose, allowed, |idle| {
@@ -463,8 +511,11 @@
                 // to it first is lost, and a write would count as one that may have run.
                 let old = if once { OLD } else { Micros::MAX };
                 let check = idle.is_some_and(|since| now < doubt || now.saturating_sub(since) >= old);
-                Job::Attempt { work, allowed, check }
+                Job::Attempt { work, allowed, within, check }
             }) {
+                if within < allowed {
+                    self.timers.set(now.saturating_add(within), Alarm::Begun(self.last_job));
+                }
                 return None;
             }
         }
@@ -518,11 +569,14 @@
     fn abandoned(&mut self, now: Micros, job: JobId, sent: bool, open: bool) {
         let Some(running) = self.jobs.get(&job) else { return };
         let why = running.dropping.unwrap_or(Outcome::Cancelled);
+        if !open {
+            self.pool.cut(running.link);
+        }
         // What was not handed to the kernel in its time was never sent; a member that let a connection hang
         // before that is one that could not be reached.
         let outcome = match why {
-            Outcome::TimedOut if !sent && open => Outcome::Moot,
-            Outcome::TimedOut if !sent => Outcome::ConnectFailed,
+            Outcome::TimedOut if !sent && !open => Outcome::ConnectFailed,
+            _ if !sent => Outcome::Moot,
             _ => why,
         };
         self.settle(now, job, Ending::plain(outcome));
@@ -540,7 +594,9 @@
         };
         if let Some(held) = self.requests.get_mut(&request) {
             use Outcome::{ConnectFailed, Full, Miss, Moot};
-            held.ran |= !matches!(outcome, ConnectFailed | Full | Miss | Moot);
+            if !matches!(outcome, ConnectFailed | Full | Miss | Moot) {
+                held.ran = Some(held.ran.unwrap_or(sent).min(sent));
+            }
             // An answer that tells nothing of the member is the statement's own error.
             if matches!(outcome, Outcome::Ok | Moot)
                 && let Some(answer) = answer
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -12,6 +12,8 @@
     address: SocketAddr,
     /// Idle, since then.
     idle: Option<Micros>,
+    /// It was cut: whatever its last job has still to say, it goes on no more.
+    cut: bool,
 }
 
 #[derive(Default)]
@@ -105,19 +107,30 @@
             evicted = Some(id);
         }
         self.last += 1;
-        self.links.insert(self.last, Link { server, address, idle: None });
+        self.links.insert(self.last, Link { server, address, idle: None, cut: false });
         Taken { link: Some((self.last, Some(address))), idle: None, evicted }
     }
 
-    /// A link has nothing to do; it goes back only if it is `open` and still leads to its member.
-    pub fn free(&mut self, link: LinkId, open: bool, now: Micros) {
-        let Some(l) = self.links.get_mut(&link) else { return };
-        if let Some(place) = self.places.get_mut(&l.server)
-            && open
-            && l.idle.is_none()
-        {
+    /// A link has nothing to do; it goes back only if it is `open` and still leads to its member. `false` if it
+    /// is to be closed. Guards against a member that has moved, or a job that ended as its link was cut.
+    pub fn free(&mut self, link: LinkId, open: bool, now: Micros) -> bool {
+        let Some(l) = self.links.get_mut(&link) else { return true };
+        if !open || l.idle.is_some() {
+            return true;
+        }
+        let place = self.places.get_mut(&l.server).filter(|p| p.address == Some(l.address) && !l.cut);
+        if let Some(place) = place {
             l.idle = Some(now);
             place.idle.push(link);
+            return true;
+        }
+        false
+    }
+
+    /// A link was cut amid a job.
+    pub fn cut(&mut self, link: LinkId) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.cut = true;
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -294,6 +294,8 @@
         server: ServerId,
         /// Its time-out.
         timeout: Micros,
+        /// It must begin within this, [`Micros::MAX`] for any time: else it is never sent.
+        within: Micros,
     },
     /// Final answer: not served, trying again is harmless.
     Refuse {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -35,10 +35,13 @@
 /// What is read, and how many connections are accepted, at once.
 const CHUNK: usize = 64 * 1024;
 const ACCEPTS: usize = 16;
-/// Connections beyond the most clients that the loop may still have to turn away.
-const DOOR: usize = 8;
 /// Without a free descriptor, the next try to accept comes after this.
 const FULL_WAIT: Duration = Duration::from_millis(10);
+/// A connection that is closed is read from until its client closes it, too, for so long and so many bytes at
+/// most; at the end of the process, for less.
+const LINGER: Duration = Duration::from_millis(1000);
+const LINGER_AT_END: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 256 * 1024;
 /// Part of a message, from which it counts in the bound on all of them.
 const LARGE: usize = 4096;
 
@@ -57,8 +60,8 @@
 /// What may be held for all clients together.
 #[derive(Clone, Copy)]
 pub struct Bounds {
-    /// Connections.
-    pub clients: usize,
+    /// Connections, with those that the loop may still have to turn away, or that linger.
+    pub most: usize,
     /// Bytes of answers that wait for sockets.
     pub unwritten: usize,
     /// Bytes of commands that are not answered yet.
@@ -80,6 +83,10 @@
     ending: AtomicBool,
     /// Nothing is accepted any more: another process does.
     hushed: AtomicBool,
+    /// Nothing is read any more.
+    stopped: AtomicBool,
+    /// Connections that the loop has closed since the thread last looked.
+    closed: Mutex<Vec<ClientId>>,
 }
 
 impl Common {
@@ -114,11 +121,17 @@
     closing: bool,
 }
 
+impl State {
+    /// Bytes of answers that wait for the socket.
+    fn unwritten(&self) -> usize {
+        self.answers.iter().map(Vec::len).sum::<usize>() - self.written
+    }
+}
+
 impl Drop for Shared {
     fn drop(&mut self) {
         let state = self.state.get_mut().unwrap_or_else(|e| e.into_inner());
-        let unwritten: usize = state.answers.iter().map(Vec::len).sum();
-        self.common.unwritten.fetch_sub(unwritten, Ordering::SeqCst);
+        self.common.unwritten.fetch_sub(state.unwritten() + state.written, Ordering::SeqCst);
         self.common.held.fetch_sub(state.commands.iter().sum(), Ordering::SeqCst);
         self.common.open.fetch_sub(1, Ordering::SeqCst);
         if self.common.full.swap(false, Ordering::SeqCst) {
@@ -132,9 +145,10 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Asks for the events that this state wants; `now` also for one at once.
+    /// Asks for the events that this state wants; `now` also for one at once. That the client has closed its
+    /// side is always told, also behind bytes that are not read yet.
     fn watch(&self, state: &State, now: bool) {
-        let mut flags = EventFlags::empty();
+        let mut flags = EventFlags::RDHUP;
         flags.set(EventFlags::IN, !state.paused);
         flags.set(EventFlags::OUT, now || !state.answers.is_empty());
         if !state.left {
@@ -157,10 +171,16 @@
             }
         }
         if state.closing {
-            let _ = self.stream.shutdown(Shutdown::Both);
+            self.half_close();
         }
         true
     }
+
+    /// Ends our side. Guards against a close over bytes that were not read: it resets the connection, and takes
+    /// along what the client has not had yet of its answer.
+    fn half_close(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
 }
 
 /// The loop's end of a client's connection. Dropped, it closes the connection once all is written.
@@ -199,7 +219,7 @@
         let mut state = shared.state();
         let size = state.commands.pop_front().unwrap_or(0);
         shared.common.held.fetch_sub(size, Ordering::SeqCst);
-        if state.paused {
+        if state.paused && !shared.common.stopped.load(Ordering::SeqCst) {
             state.paused = false;
             shared.watch(&state, true);
         }
@@ -221,9 +241,15 @@
         let mut state = self.shared.state();
         self.shared.busy.fetch_or(CLOSED, Ordering::SeqCst);
         state.closing = true;
-        if state.answers.is_empty() || state.left {
+        if state.left {
             let _ = self.shared.stream.shutdown(Shutdown::Both);
+            return;
         }
+        if state.answers.is_empty() {
+            self.shared.half_close();
+        }
+        self.shared.common.closed.lock().unwrap_or_else(|e| e.into_inner()).push(self.shared.id);
+        self.shared.common.wake();
     }
 }
 
@@ -237,6 +263,12 @@
         self.0.wake();
     }
 
+    /// Nothing is read or accepted any more. The loop is told so behind all that was read before.
+    pub fn stop(&self) {
+        self.0.stopped.store(true, Ordering::SeqCst);
+        self.0.wake();
+    }
+
     /// No connection is accepted any more, and the thread ends when the last has gone.
     pub fn end(&self) {
         self.0.ending.store(true, Ordering::SeqCst);
@@ -270,6 +302,11 @@
     limit: Option<Instant>,
     /// What it counts for in the bound on parts of messages.
     part: usize,
+    /// Nothing that comes is taken any more.
+    done: bool,
+    /// Bytes that came since, and what was unwritten when its time was last up.
+    waste: usize,
+    unwritten: usize,
 }
 
 /// The thread that accepts and reads.
@@ -282,6 +319,10 @@
     last: ClientId,
     scratch: Vec<u8>,
     partial: usize,
+    /// Connections that the loop has closed, the first at the front, and that may linger.
+    lingering: VecDeque<ClientId>,
+    /// The loop has been told that nothing is read any more.
+    silent: bool,
     /// The listeners are not watched, until then if that was for want of descriptors.
     deaf: Option<Option<Instant>>,
     clock: Clock,
@@ -330,6 +371,8 @@
             full: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             hushed: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            closed: Mutex::default(),
         });
         let ender = Ender(common.clone());
         let reception = Reception {
@@ -341,6 +384,8 @@
             last: FIRST_CLIENT,
             scratch: vec![0; CHUNK],
             partial: 0,
+            lingering: VecDeque::new(),
+            silent: false,
             deaf: None,
             clock,
             settings,
@@ -359,7 +404,12 @@
                 drop(self.alive.take());
                 return;
             }
-            if self.common.hushed.load(Ordering::SeqCst) && !self.listeners.is_empty() {
+            self.linger(ending);
+            if self.common.stopped.load(Ordering::SeqCst) && !self.silent {
+                self.stop();
+            }
+            let hushed = self.silent || self.common.hushed.load(Ordering::SeqCst);
+            if hushed && !self.listeners.is_empty() {
                 let listeners = std::mem::take(&mut self.listeners);
                 listeners.iter().for_each(|(l, _)| _ = epoll::delete(&self.common.epoll, l));
             }
@@ -384,9 +434,65 @@
         }
     }
 
+    /// Takes up what the loop has closed: from then on only the client's own close is waited for.
+    fn linger(&mut self, ending: bool) {
+        let closed = std::mem::take(&mut *self.common.closed.lock().unwrap_or_else(|e| e.into_inner()));
+        while self.lingering.front().is_some_and(|id| !self.guests.contains_key(id)) {
+            self.lingering.pop_front();
+        }
+        for id in closed {
+            if self.guests.contains_key(&id) {
+                self.lingering.push_back(id);
+                self.give_up(id, LINGER);
+            }
+        }
+        if ending {
+            // Whatever the loop holds no more lingers.
+            self.guests.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| {
+                self.give_up(id, LINGER_AT_END);
+            });
+        }
+    }
+
+    /// Nothing that comes on this connection is taken any more, and it is closed after this time at most.
+    fn give_up(&mut self, id: ClientId, after: Duration) {
+        let Some(guest) = self.guests.get_mut(&id) else { return };
+        let limit = Instant::now() + after;
+        let limit = if guest.done { guest.limit.unwrap_or(limit).min(limit) } else { limit };
+        guest.limit.map(|old| self.limits.remove(&(old, id)));
+        self.limits.insert((limit, id));
+        self.partial -= guest.part;
+        (guest.done, guest.limit, guest.part, guest.frames) = (true, Some(limit), 0, Frames::default());
+        let mut state = guest.shared.state();
+        state.paused = false;
+        guest.shared.watch(&state, false);
+    }
+
+    /// Reads nothing any more, and tells the loop: what it has been handed before is all that there is.
+    fn stop(&mut self) {
+        self.silent = true;
+        for guest in self.guests.values().filter(|g| !g.done) {
+            let mut state = guest.shared.state();
+            state.paused = true;
+            guest.shared.watch(&state, false);
+        }
+        let _ = self.messages.send(Message::Stopped);
+    }
+
+    /// Closes the connection that has lingered longest, for the sake of its descriptor; `false` if there is none.
+    fn hurry(&mut self) -> bool {
+        while let Some(id) = self.lingering.pop_front() {
+            if self.guests.contains_key(&id) {
+                self.leave(id);
+                return true;
+            }
+        }
+        false
+    }
+
     fn listen(&mut self) {
         let Some(until) = self.deaf else { return };
-        let room = self.common.open.load(Ordering::SeqCst) < self.common.bounds.clients + DOOR;
+        let room = self.common.open.load(Ordering::SeqCst) < self.common.bounds.most;
         if room && until.is_none_or(|at| at <= Instant::now()) {
             self.deaf = None;
             self.hear(EventFlags::IN);
@@ -405,7 +511,8 @@
             if self.deaf.is_some() {
                 return;
             }
-            if self.common.open.load(Ordering::SeqCst) >= self.common.bounds.clients + DOOR {
+            let full = |r: &Self| r.common.open.load(Ordering::SeqCst) >= r.common.bounds.most;
+            if full(self) && (!self.hurry() || full(self)) {
                 // Guards against a crowd that takes every descriptor: it waits in the backlog.
                 self.common.full.store(true, Ordering::SeqCst);
                 self.deaf = Some(None);
@@ -420,6 +527,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(_) if self.hurry() => {}
                 Err(e) => {
                     // Guards against a full table of descriptors: the connection waits in the backlog.
                     tracing::warn!(error = %e, "no connection accepted");
@@ -435,9 +543,12 @@
         let _ = stream.set_nodelay(true);
         self.last += 1;
         let id = self.last;
-        let usable = stream.set_nonblocking(true).is_ok();
+        // Guards against a crowd that has gone before it was let in: it would keep others out.
+        let usable = stream.set_nonblocking(true).is_ok() && !matches!(stream.peek(&mut [0]), Ok(0));
         let data = EventData::new_u64(id);
-        if !usable || epoll::add(&self.common.epoll, &stream, data, EventFlags::IN).is_err() {
+        if !usable
+            || epoll::add(&self.common.epoll, &stream, data, EventFlags::IN | EventFlags::RDHUP).is_err()
+        {
             return;
         }
         self.common.open.fetch_add(1, Ordering::SeqCst);
@@ -464,6 +575,9 @@
                 took: false,
                 limit: Some(limit),
                 part: 0,
+                done: false,
+                waste: 0,
+                unwritten: 0,
             },
         );
         let _ = self.messages.send(Message::Accepted(id, handle));
@@ -480,22 +594,33 @@
             }
             (open, state.paused)
         };
-        let broken = flags.intersects(EventFlags::ERR | EventFlags::HUP);
-        open &= !broken;
-        let closed = shared.busy.load(Ordering::SeqCst) & CLOSED != 0;
-        if closed {
-            // The loop has done with it: what has come since is not read.
-            if !open || shared.state().answers.is_empty() {
+        // Guards against a client that closes behind bytes that are not read yet: it has gone all the same.
+        open &= !flags.intersects(EventFlags::ERR | EventFlags::HUP | EventFlags::RDHUP);
+        if guest.done || shared.busy.load(Ordering::SeqCst) & CLOSED != 0 {
+            // What has come since the loop closed it is not taken: only the client's own close is waited for.
+            if open && flags.contains(EventFlags::IN) {
+                match (&shared.stream).read(&mut self.scratch) {
+                    Ok(n) => {
+                        guest.waste += n;
+                        open = n > 0 && guest.waste < LINGER_BYTES;
+                    }
+                    Err(e) => open = matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+                }
+            }
+            if !open {
                 self.leave(id);
             }
             return;
         }
+        if self.silent && open {
+            return;
+        }
         if paused && open {
             return;
         }
         if !guest.holds {
             if shared.busy.fetch_add(1, Ordering::SeqCst) & CLOSED != 0 {
-                return self.leave(id);
+                return;
             }
             guest.holds = true;
         }
@@ -516,9 +641,12 @@
         } else {
             guest.tell_gone(id, &self.messages);
         }
-        if !open || matches!(next, Next::Done) {
+        if !open {
             return self.leave(id);
         }
+        if matches!(next, Next::Done) {
+            return self.give_up(id, WHOLE);
+        }
         let rest = guest.frames.rest().len() + guest.stage.size();
         let part = if rest >= LARGE { rest } else { 0 };
         self.partial = self.partial + part - guest.part;
@@ -526,7 +654,7 @@
         if self.partial > self.common.bounds.partial && part > 0 {
             // Guards against many clients that each send a part of something long.
             guest.say_malformed(id, Malformed("too much at once"), &self.messages);
-            return self.leave(id);
+            return self.give_up(id, WHOLE);
         }
         let waiting = matches!(next, Next::Full);
         if guest.frames.rest().is_empty() && guest.stage.between() {
@@ -556,8 +684,19 @@
             self.limits.remove(&(limit, id));
             let Some(guest) = self.guests.get_mut(&id) else { continue };
             guest.limit = None;
-            guest.say_malformed(id, Malformed("no whole command in time"), &self.messages);
-            self.leave(id);
+            if guest.done {
+                let unwritten = guest.shared.state().unwritten();
+                // Guards against cutting off a client that takes its answer slowly.
+                if unwritten > 0 && unwritten != guest.unwritten && !self.silent {
+                    guest.unwritten = unwritten;
+                    self.give_up(id, LINGER);
+                } else {
+                    self.leave(id);
+                }
+            } else if !self.silent {
+                guest.say_malformed(id, Malformed("no whole command in time"), &self.messages);
+                self.give_up(id, WHOLE);
+            }
         }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,17 +9,29 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// An empty line comes every 2 s: a watch silent for longer has ended without a sign.
-const SILENCE: Duration = Duration::from_millis(4500);
-const DIAL: Duration = Duration::from_secs(1);
-/// The wait before a watch is opened again, and the most that it grows to while nothing is heard: what
-/// discovery has to tell counts as told 6 s later at the latest.
+// What discovery has to tell counts as told 6 s after it had it and could be reached, and 6 s after a watch fell
+// silent. The longest way there is a silent watch, a wait, a connection that never comes up, a wait, a call that
+// hangs, and one more wait: 2.4 + 0.25 + 0.4 + 0.5 + 1 + 1 s.
+
+/// An empty line comes every 2 s: a watch that ended no line for longer has ended without a sign.
+const SILENCE: Duration = Duration::from_millis(2400);
+/// The agent is on this machine: a connection that is not up by then never comes up.
+const DIAL: Duration = Duration::from_millis(400);
+/// A call that has told no whole list by then hangs; the next one in a row may take twice as long. Guards
+/// against giving up a discovery that is short of room each time just before it answers.
+const CALL: Duration = Duration::from_millis(1000);
+const CALL_MOST: Duration = Duration::from_millis(2000);
+/// The wait before a watch is opened again, and the most that it grows to while nothing is heard. A quarter
+/// more or less of it is taken, so that hundreds of proxies do not call in step.
 const AGAIN: Duration = Duration::from_millis(200);
-const AGAIN_MOST: Duration = Duration::from_millis(1600);
-/// The longest line, and so the longest list, that is read.
-const MAX_LINE: usize = 4 << 20;
+const AGAIN_MOST: Duration = Duration::from_millis(800);
+/// The longest list that is read.
+const MAX_LIST: usize = 4 << 20;
+
+/// The shortest time limit of a read.
+const LEAST: Duration = Duration::from_millis(1);
 
 /// A list, whole or in part, as discovery and the configuration spell it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -124,6 +136,7 @@
             address,
             rev,
             heard: false,
+            patience: CALL,
             messages,
             stream: stream.clone(),
             ended: ended.clone(),
@@ -137,10 +150,10 @@
                     tracing::warn!(error = %e, "the watch on the member list ended");
                 }
                 // Guards against hundreds of proxies that call in step, and ever on, where discovery is short
-                // of room: the wait doubles while nothing is heard; half to one and a half of it is taken.
+                // of room: the wait doubles while nothing is heard.
                 wait = if std::mem::take(&mut watcher.heard) { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
                 turn = hash(&turn.to_be_bytes());
-                std::thread::sleep(wait / 2 + wait * (turn % 1000) as u32 / 1000);
+                std::thread::sleep(wait * 3 / 4 + wait * (turn % 1000) as u32 / 2000);
             }
         })?;
         Ok(Watch { id, address, stream, ended })
@@ -165,6 +178,8 @@
     rev: Option<u64>,
     /// Discovery has said something since the last call.
     heard: bool,
+    /// How long a call may take to tell the first whole list.
+    patience: Duration,
     messages: Messages,
     stream: Arc<Mutex<Option<TcpStream>>>,
     ended: Arc<AtomicBool>,
@@ -179,47 +194,108 @@
         self.ask(&format!("/api/targets?stream=1&index={rev}"), true)
     }
 
-    /// Asks, and hands on the answer: line by line, or as one.
-    fn ask(&mut self, path: &str, lines: bool) -> Result<()> {
+    /// Asks, and hands on what is told: one list, or all that come for as long as the watch lasts.
+    fn ask(&mut self, path: &str, watch: bool) -> Result<()> {
         let stream = TcpStream::connect_timeout(&self.address, DIAL)?;
         *self.stream.lock().unwrap_or_else(|e| e.into_inner()) = Some(stream.try_clone()?);
+        // Guards against being ended while the connection came up: nobody would cut this one.
+        if self.ended.load(Ordering::SeqCst) {
+            return Ok(());
+        }
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(SILENCE))?;
-        stream.set_write_timeout(Some(SILENCE))?;
+        stream.set_write_timeout(Some(CALL))?;
+        let by = Instant::now() + self.patience;
         let ask = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         (&stream).write_all(ask.as_bytes())?;
-        let mut body = Body::open(&stream)?;
-        let mut line = Vec::new();
-        while let Some(part) = body.next()? {
-            self.heard = true;
+        let told = self.listen(&stream, by, watch);
+        let hung = matches!(&told, Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut));
+        self.patience = if hung && !self.heard { (self.patience * 2).min(CALL_MOST) } else { CALL };
+        told
+    }
+
+    fn listen(&mut self, stream: &TcpStream, mut by: Instant, watch: bool) -> Result<()> {
+        let mut body = Body::open(stream, by)?;
+        if watch {
+            // Where nothing has changed, the first line may be the next empty one.
+            by = Instant::now() + SILENCE;
+        }
+        let mut objects = Objects::default();
+        while let Some(part) = body.next(by)? {
+            // Guards against bytes that come for ever and end no line.
+            let late = Instant::now() > by;
+            let mut ended = false;
             for byte in part {
-                if byte != b'\n' || !lines {
-                    line.push(byte);
-                } else if !self.news(&std::mem::take(&mut line))? {
+                let Some(object) = objects.take(byte)? else { continue };
+                if object.is_empty() && !watch {
+                    continue;
+                }
+                (self.heard, ended) = (true, true);
+                by = Instant::now() + SILENCE;
+                if !self.news(&object)? || !watch {
                     return Ok(());
                 }
             }
-            if line.len() > MAX_LINE {
-                return Err(Error::new(ErrorKind::InvalidData, "line too long"));
+            if late && !ended {
+                return Err(ErrorKind::TimedOut.into());
             }
         }
-        self.news(&line).map(drop)
+        match objects.bytes.is_empty() && watch {
+            true => Ok(()),
+            false => Err(ErrorKind::UnexpectedEof.into()),
+        }
     }
 
     /// `false` if nobody wants them any more.
-    fn news(&mut self, line: &[u8]) -> Result<bool> {
+    fn news(&mut self, object: &[u8]) -> Result<bool> {
         if self.ended.load(Ordering::SeqCst) {
             return Ok(false);
         }
-        if line.trim_ascii().is_empty() {
+        if object.is_empty() {
             return Ok(true);
         }
-        let list: List = serde_json::from_slice(line).map_err(Error::other)?;
+        let list: List = serde_json::from_slice(object).map_err(Error::other)?;
         self.rev = Some(list.rev);
         Ok(self.messages.send(Message::News(self.id, list)).is_ok())
     }
 }
 
+/// Cuts a stream of JSON objects apart, however they are broken into lines.
+#[derive(Default)]
+struct Objects {
+    /// The object that has begun.
+    bytes: Vec<u8>,
+    depth: usize,
+    /// Within a string, and behind a backslash there.
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    /// Takes a byte, and returns the object that it ends, or nothing for the end of an empty line.
+    fn take(&mut self, byte: u8) -> Result<Option<Vec<u8>>> {
+        if self.depth == 0 && byte != b'{' {
+            return match byte {
+                b'\n' => Ok(Some(Vec::new())),
+                _ if byte.is_ascii_whitespace() => Ok(None),
+                _ => Err(Error::new(ErrorKind::InvalidData, "no JSON object")),
+            };
+        }
+        self.bytes.push(byte);
+        if self.bytes.len() > MAX_LIST {
+            return Err(Error::new(ErrorKind::InvalidData, "list too long"));
+        }
+        match byte {
+            _ if self.escaped => self.escaped = false,
+            b'\\' if self.quoted => self.escaped = true,
+            b'"' => self.quoted = !self.quoted,
+            b'{' if !self.quoted => self.depth += 1,
+            b'}' if !self.quoted => self.depth -= 1,
+            _ => {}
+        }
+        Ok((self.depth == 0).then(|| std::mem::take(&mut self.bytes)))
+    }
+}
+
 /// The body of an HTTP answer, in chunks or to the end of the stream.
 struct Body<'a> {
     stream: &'a TcpStream,
@@ -232,10 +308,10 @@
 }
 
 impl<'a> Body<'a> {
-    fn open(stream: &'a TcpStream) -> Result<Self> {
+    fn open(stream: &'a TcpStream, by: Instant) -> Result<Self> {
         let mut body = Body { stream, buffer: Vec::new(), chunked: false, left: 0, sized: false };
         loop {
-            if !body.fill()? {
+            if !body.fill(by)? {
                 return Err(ErrorKind::UnexpectedEof.into());
             }
             let mut headers = [httparse::EMPTY_HEADER; 32];
@@ -265,10 +341,14 @@
         }
     }
 
-    fn fill(&mut self) -> Result<bool> {
+    /// Reads once, until then at the latest; `false` at the end of the stream.
+    fn fill(&mut self, by: Instant) -> Result<bool> {
         let mut part = [0; 4096];
         let mut stream = self.stream;
         let n = loop {
+            // What has come is read, too, if it is late only because the process stood still.
+            let left = by.saturating_duration_since(Instant::now()).max(LEAST);
+            stream.set_read_timeout(Some(left))?;
             match stream.read(&mut part) {
                 // Guards against a pause of the whole process (SIGSTOP, SIGCONT) passing for the watch's end:
                 // a read with a time limit is not taken up again by the system.
@@ -280,8 +360,8 @@
         Ok(n > 0)
     }
 
-    /// The next bytes of the body; `None` at its end.
-    fn next(&mut self) -> Result<Option<Vec<u8>>> {
+    /// The next bytes of the body, until then at the latest; `None` at its end.
+    fn next(&mut self, by: Instant) -> Result<Option<Vec<u8>>> {
         loop {
             if !self.chunked || self.left > 0 {
                 if self.sized && self.left == 0 {
@@ -309,7 +389,7 @@
                     continue;
                 }
             }
-            if !self.fill()? {
+            if !self.fill(by)? {
                 return Ok(None);
             }
         }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -38,6 +38,8 @@
     lane: Arc<Lane>,
     job: JobId,
     what: Job<Work>,
+    /// It is not begun later than this.
+    by: Option<Instant>,
     state: Arc<AtomicU8>,
 }
 
@@ -123,17 +125,37 @@
     /// Hands over a job; `false` if the link can't take it.
     pub fn carry(&mut self, job: JobId, what: Job<Work>) -> bool {
         (self.state, self.job) = (Arc::new(AtomicU8::new(WAITING)), job);
-        self.workers.hand(Order { lane: self.lane.clone(), job, what, state: self.state.clone() })
+        let by = match what {
+            Job::Attempt { within, .. } => Instant::now().checked_add(Duration::from_micros(within)),
+            Job::Probe => None,
+        };
+        self.workers.hand(Order { lane: self.lane.clone(), job, what, by, state: self.state.clone() })
+    }
+
+    /// Withdraws a job that has not begun: whether the link goes on, or nothing if it has begun. A connection
+    /// in use for a check, or for what comes ahead of an Execute, is cut.
+    pub fn recall(&self, job: JobId) -> Option<bool> {
+        if self.job != job {
+            return None;
+        }
+        if step(&self.state, WAITING, WITHDRAWN) {
+            return Some(true);
+        }
+        step(&self.state, PREFACE, WITHDRAWN).then(|| {
+            self.cut();
+            false
+        })
     }
 
     /// Withdraws a job: whether it may have been sent, and whether the link goes on. If not, it is cut.
     pub fn abandon(&self, job: JobId) -> (bool, bool) {
-        if self.job == job && step(&self.state, WAITING, WITHDRAWN) {
-            return (false, true);
+        match self.recall(job) {
+            Some(open) => (false, open),
+            None => {
+                self.cut();
+                (true, false)
+            }
         }
-        let sent = self.job != job || !step(&self.state, PREFACE, WITHDRAWN);
-        self.cut();
-        (sent, false)
     }
 
     /// Ends the connection, whatever it is doing.
@@ -212,8 +234,7 @@
                 told.push(Input::Idle(self.link));
                 return Some(seat);
             }
-            let _ = stream.set_read_timeout(Some(self.dial));
-            let alive = answers(stream, frames);
+            let alive = answers(stream, frames, Instant::now() + self.dial);
             let _ = stream.set_read_timeout(None);
             // Withdrawn meanwhile, which cuts the connection: nothing has run.
             if !step(&order.state, PREFACE, WAITING) {
@@ -231,9 +252,13 @@
         let reply = match connected {
             Err(outcome) => Reply::plain(outcome),
             Ok((stream, mut frames)) => {
-                let written = || self.tell(Input::Written);
-                let mut talk =
-                    Exchange { stream: &stream, frames: &mut frames, state: &order.state, written: &written };
+                let mut talk = Exchange {
+                    stream: &stream,
+                    frames: &mut frames,
+                    state: &order.state,
+                    by: order.by,
+                    written: &|| self.tell(Input::Written),
+                };
                 let reply = talk.run(&order.what, &mut seat.catalogue);
                 seat.connection = Some((stream, frames));
                 match reply {
@@ -309,8 +334,8 @@
     stream.set_nonblocking(false).is_err() || !quiet
 }
 
-/// The connection still leads to the member: an empty query, which has no effect, is answered.
-fn answers(mut stream: &TcpStream, frames: &mut Frames) -> bool {
+/// The connection still leads to the member: an empty query, which has no effect, is answered by then.
+fn answers(mut stream: &TcpStream, frames: &mut Frames, by: Instant) -> bool {
     if stream.write_all(&pg::query(&[])).is_err() {
         return false;
     }
@@ -325,7 +350,10 @@
             Some(b'S' | b'N') => {}
             Some(b'Z') => return empty && frames.rest().is_empty(),
             None => {
-                if !matches!(frames.fill(stream), Ok(true)) {
+                // All of it together. Guards against a member that says a little at a time.
+                let left = by.saturating_duration_since(Instant::now());
+                let waits = !left.is_zero() && stream.set_read_timeout(Some(left)).is_ok();
+                if !waits || !matches!(frames.fill(stream), Ok(true)) {
                     return false;
                 }
             }
@@ -339,6 +367,8 @@
     stream: &'a TcpStream,
     frames: &'a mut Frames,
     state: &'a AtomicU8,
+    /// It is not begun later than this.
+    by: Option<Instant>,
     /// Called when an attempt's last byte has been written.
     written: &'a dyn Fn(),
 }
@@ -371,6 +401,9 @@
                 }
             },
         };
+        if self.late() {
+            return Some(Reply { ending: Ending::plain(Outcome::Moot), open: true });
+        }
         if !step(self.state, WAITING, SENDING) {
             return None;
         }
@@ -387,6 +420,11 @@
         })
     }
 
+    /// What was true when this was decided may be so no more. Guards against a connection that comes up late.
+    fn late(&self) -> bool {
+        self.by.is_some_and(|by| Instant::now() > by)
+    }
+
     /// Writes all of it, or says how much was handed over.
     fn write(&mut self, bytes: &[u8]) -> Result<(), usize> {
         let mut sent = 0;
@@ -466,6 +504,9 @@
         let mut heard = Heard::default();
         let executes = unit.executes();
         let ahead = unit.careful || !executes;
+        if self.late() {
+            return Some(Reply { ending: Ending::plain(Outcome::Moot), open: true });
+        }
         // Before the script is made: it takes for prepared what it is about to prepare.
         if !step(self.state, WAITING, if ahead { PREFACE } else { SENDING }) {
             return None;
@@ -478,6 +519,10 @@
             let _ = self.stream.set_read_timeout(Some(PREFACE_WAIT));
             let taken = self.write(&preface).is_ok() && self.preface(&mut script, catalogue, &mut heard);
             let _ = self.stream.set_read_timeout(None);
+            if taken && self.late() {
+                // The member is at rest before its Execute: the connection is of no further use.
+                return Some(Reply::plain(Outcome::Moot));
+            }
             if !taken || (script.error.is_none() && executes && !step(self.state, PREFACE, SENDING)) {
                 return Some(Reply::plain(Outcome::ConnectFailed));
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,16 +18,23 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use discovery::{Watch, WatchId};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Messages to the loop that may wait; whoever sends more waits.
 const UNREAD: usize = 1024;
 /// Threads need little: buffers are on the heap.
 const STACK: usize = 128 * 1024;
-/// Descriptors kept for the listener, discovery, logs and the like.
+/// Descriptors kept for the listener, discovery, logs and the like; with few, the part that these need at least.
 const SPARE: usize = 40;
+const NEEDED: usize = 14;
+/// Connections of clients beyond the most, which the loop has still to turn away, or which linger.
+const DOOR: usize = 8;
+/// How long the clients' address may still be taken by the process before this one, and between two tries.
+const TAKEN: Duration = Duration::from_secs(3);
+const TAKEN_AGAIN: Duration = Duration::from_millis(20);
 /// Without news of the list, the proxy is ready this long after its start.
 const READY_AFTER: Micros = 400_000;
 /// SIGKILL comes no earlier than the longest deadline, counted as this at most, and a bit more after SIGTERM.
@@ -52,8 +59,10 @@
 const OVERLAP: usize = 3;
 /// After SIGTERM, new connections are taken for this long where the next process accepts them, too.
 const ACCEPT_FOR: Micros = 500_000;
-/// How long the program waits at its end for answers that a client is slow to take.
-const LAST_WRITES: Duration = Duration::from_secs(1);
+/// How long the program waits at its end for clients to take answers and close, and what it leaves of the time
+/// before SIGKILL.
+const LAST_WRITES: Micros = 1_000_000;
+const SPARED: Micros = 30_000;
 
 /// What reaches the loop.
 pub enum Message {
@@ -75,6 +84,8 @@
     Operator(ops::Call, ops::Reply),
     /// SIGTERM or SIGINT.
     Terminate,
+    /// Nothing is read from clients any more, and all that was read before has been handed over.
+    Stopped,
 }
 
 /// Where messages to the loop go.
@@ -89,7 +100,17 @@
 pub fn listener(config: &Config) -> Result<TcpListener, String> {
     use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
     let Some(number) = config.listen_fd else {
-        return TcpListener::bind(config.listen).map_err(|e| format!("{}: {e}", config.listen));
+        let end = Instant::now() + TAKEN;
+        loop {
+            match TcpListener::bind(config.listen) {
+                Ok(listener) => return Ok(listener),
+                // Guards against a failed start where the process before this one is still on its way out.
+                Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < end => {
+                    std::thread::sleep(TAKEN_AGAIN);
+                }
+                Err(e) => return Err(format!("{}: {e}", config.listen)),
+            }
+        }
     };
     // A duplicate of the own descriptor: the one inherited stays as it is.
     let own = pidfd_open(getpid(), PidfdFlags::empty());
@@ -115,7 +136,10 @@
     let recovered = move |state: State| drop(stored.try_send(Message::Stored(state.members)));
     let store = Store::start(replicas, config.seed, recovered)?;
     let callers = config.ops.map_or(0, |_| ops::CALLERS);
-    let budget = config.sockets.saturating_sub(SPARE + callers).max(2);
+    // Guards against clients or links that take the last descriptor: news of the list must come in whatever they do.
+    let left = config.sockets.saturating_sub(NEEDED + callers);
+    let spare = (SPARE - NEEDED).min(left / 2);
+    let (budget, door) = (left.saturating_sub(spare).max(2), DOOR.min(spare));
     let links = match config.listen_fd {
         Some(_) => (config.sockets / OVERLAP).saturating_sub(SPARE / 2).clamp(2, (budget / 2).max(2)),
         None => budget / 2,
@@ -127,7 +151,7 @@
     let (alive, written) = bounded(0);
     let memory = config.memory;
     let bounds = client::Bounds {
-        clients: budget - budget / 2,
+        most: budget - budget / 2 + door,
         unwritten: memory / 8,
         held: memory / 8,
         partial: memory / 8,
@@ -151,13 +175,15 @@
         workers: link::Workers::default(),
         links: HashMap::new(),
         clients: HashMap::new(),
-        most_clients: bounds.clients,
+        most_clients: budget - budget / 2,
         sockets: config.sockets,
         seed: config.seed,
         ready_at: Some(clock.now() + READY_AFTER),
         told: config.known.rev,
+        before: None,
         watch: Watch::start(0, config.discovery, Some(config.known.rev), config.seed, messages.clone())?,
         ending: None,
+        stopped: None,
         inherited: config.listen_fd.is_some(),
         drain_at: None,
     };
@@ -213,14 +239,17 @@
     ready_at: Option<Micros>,
     /// The version of the list that the proxy goes by; the highest once discovery has spoken.
     told: u64,
-    /// The watch on the member list; news of an earlier one are stale.
+    /// The watch on the member list, and the one before until it has spoken; news of any other are stale.
     watch: Watch,
+    before: Option<Watch>,
     /// The platform holds the clients' socket: another process may accept from it.
     inherited: bool,
     /// Out of service: connections are closed between requests from then on.
     drain_at: Option<Micros>,
     /// SIGTERM has come: when, and whether connections are being closed.
     ending: Option<(Micros, bool)>,
+    /// The end has come: whether nothing is read from clients any more.
+    stopped: Option<bool>,
 }
 
 impl Host {
@@ -258,8 +287,7 @@
                 && at <= now
             {
                 if !self.retire(id) {
-                    self.platform.stirs(now, id);
-                    self.postgres.iter_mut().for_each(|p| p.stirs(now, id));
+                    self.stirs(now, id);
                 }
             }
             if self.drain_at.is_some_and(|at| at <= now) {
@@ -282,8 +310,15 @@
                 }
                 let open = self.platform.open() + self.postgres.as_ref().map_or(0, Lobby::open);
                 let done = open == 0 && self.core.owed() == 0;
-                if now >= since + SERVE_FOR && (done || now >= since + self.kill_after() - FAIL_BEFORE / 2) {
-                    self.linger();
+                let late = now >= since + self.kill_after() - FAIL_BEFORE / 2;
+                if self.stopped.is_none() && now >= since + SERVE_FOR && (done || late) {
+                    self.stopped = Some(false);
+                    self.ender.stop();
+                }
+                // Guards against a request that is read in the last moment and never answered.
+                let last = now >= since + self.kill_after() - FAIL_BEFORE / 4;
+                if self.stopped == Some(true) && self.core.owed() == 0 || last {
+                    self.linger(since + self.kill_after() - SPARED);
                     return;
                 }
             }
@@ -304,12 +339,13 @@
         longest.min(LONGEST) + KILL_AFTER
     }
 
-    /// Lets clients take what is still to be written.
-    fn linger(&mut self) {
+    /// Lets clients take what is still to be written, until then at most.
+    fn linger(&mut self, by: Micros) {
         self.clients.clear();
         self.ender.end();
+        let left = by.saturating_sub(self.clock.now()).min(LAST_WRITES);
         // Ends at once when the last connection has gone: nothing is ever sent here.
-        let _ = self.written.recv_timeout(LAST_WRITES);
+        let _ = self.written.recv_timeout(Duration::from_micros(left));
     }
 
     fn take(&mut self, now: Micros, message: Message) {
@@ -321,9 +357,13 @@
                 self.core(now, input);
             }
             Message::Reload(read) => self.reload(*read),
-            // Guards against news that an ended watch had under way.
-            Message::News(watch, _) if watch != self.watch.id => {}
-            Message::News(_, list) => {
+            Message::News(watch, list) => {
+                if watch == self.watch.id {
+                    self.before = None;
+                } else if self.before.as_ref().is_none_or(|before| before.id != watch) {
+                    // Guards against news that an ended watch had under way.
+                    return;
+                }
                 let input = Input::List { full: list.all, members: list.members() };
                 self.told = u64::MAX;
                 self.core(now, input);
@@ -337,6 +377,7 @@
                     self.core(now, Input::List { full: true, members: list.members() });
                 }
             }
+            Message::Stopped => self.stopped = Some(true),
             Message::Accepted(id, handle) => self.accepted(now, id, handle),
             Message::Extended(id, said) => {
                 if let Some(postgres) = &mut self.postgres {
@@ -389,7 +430,10 @@
         match Watch::start(self.watch.id + 1, address, None, self.seed, self.messages.clone()) {
             Ok(watch) => {
                 tracing::info!(discovery = %address, "following discovery to another address");
-                self.watch = watch;
+                let before = std::mem::replace(&mut self.watch, watch);
+                // Guards against missing what the old address tells until the new one has spoken. One that has
+                // not spoken itself tells nothing that counts.
+                self.before.get_or_insert(before);
             }
             Err(e) => tracing::error!(error = %e, "no thread for another watch; the old one goes on"),
         }
@@ -431,8 +475,15 @@
     /// Makes room for a client: guards against connections that say nothing, or are kept for good, crowding
     /// out those that ask.
     fn evict(&mut self, now: Micros) -> bool {
-        let idlest = [self.platform.idlest(now), self.postgres.as_ref().and_then(|p| p.idlest(now))];
-        idlest.into_iter().flatten().max().is_some_and(|(.., id)| self.retire(id))
+        loop {
+            let idlest = [self.platform.idlest(now), self.postgres.as_ref().and_then(|p| p.idlest(now))];
+            let Some((.., id)) = idlest.into_iter().flatten().max() else { return false };
+            if self.retire(id) {
+                return true;
+            }
+            // Its next command is on its way: it is not idle, but the next one may be.
+            self.stirs(now, id);
+        }
     }
 
     /// The connection to close next where many are kept. Guards against clients that ask once and keep their
@@ -445,6 +496,11 @@
         many.then(|| [idlest, idler].into_iter().flatten().min()).flatten()
     }
 
+    fn stirs(&mut self, now: Micros, id: ClientId) {
+        self.platform.stirs(now, id);
+        self.postgres.iter_mut().for_each(|p| p.stirs(now, id));
+    }
+
     /// Closes a connection between requests; `false` if another request is on its way.
     fn retire(&mut self, id: ClientId) -> bool {
         let retired = self.clients.get(&id).is_some_and(client::Handle::retire);
@@ -508,6 +564,14 @@
                     }
                     self.core(now, Input::Abandoned { job, sent, open });
                 }
+                Effect::Recall { link, job } => {
+                    if let Some(open) = self.links.get(&link).and_then(|l| l.recall(job)) {
+                        if !open {
+                            self.links.remove(&link);
+                        }
+                        self.core(now, Input::Abandoned { job, sent: false, open });
+                    }
+                }
                 Effect::Close(link) => {
                     if let Some(handle) = self.links.remove(&link) {
                         handle.cut();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -454,7 +454,7 @@
     let server = |out: &mut Vec<u8>, s: &ServerId| out.extend(&s.0.to_be_bytes()[2..]);
     let span = |t: &Micros| u32::try_from(*t).unwrap_or(u32::MAX).to_be_bytes();
     let code = match action {
-        Action::Send { request, server: to, timeout } => {
+        Action::Send { request, server: to, timeout, .. } => {
             out.extend(request.to_be_bytes());
             server(out, to);
             out.extend(span(timeout));
--- /dev/null
+++ b/tests/proxy/crossings.rs
@@ -0,0 +1,466 @@
+//! Pairs of events that meet at the wrong instant. Stand-ins hold back, release, hang or reset on command, so that
+//! each crossing is forced and not hoped for; `docs/crossings.md` lists them.
+
+use crate::rig::*;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+const SERVED: &str = "T D(value) C Z";
+
+/// The program with operators' calls, where only attempts open connections to members, which may take long to
+/// come up; `more` changes the configuration further.
+fn patient(more: &str) -> String {
+    let edit = "s/\"probes\":true/\"probes\":false,\"dial_timeout_us\":10000000/";
+    format!(
+        "sed -i '{edit};{more}' \"$GW_CONFIG\"; export GW_OPS=127.0.0.1:0; exec \"$0\" serve --postgres \"$1\""
+    )
+}
+
+fn told(proxy: &Proxy, figure: &str) {
+    let begun = Instant::now();
+    while !proxy.control("GET", "counters").1.contains(figure) {
+        assert!(begun.elapsed() < Duration::from_secs(10), "{figure} never comes");
+    }
+}
+
+/// Discovery, word by word as the test says.
+struct Agent {
+    address: SocketAddr,
+    calls: Receiver<TcpStream>,
+}
+
+impl Agent {
+    fn new() -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (calls, received) = channel();
+        std::thread::spawn(move || listener.incoming().flatten().try_for_each(|s| calls.send(s)));
+        Agent { address, calls: received }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The next call, and whether it asks for a watch.
+    fn called(&self) -> (TcpStream, bool) {
+        let stream = self.calls.recv_timeout(Duration::from_secs(15)).expect("a call comes");
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let (mut asked, mut line) = (String::new(), String::new());
+        reader.read_line(&mut asked).unwrap();
+        while reader.read_line(&mut line).is_ok_and(|n| n > 2) {
+            line.clear();
+        }
+        (stream, asked.contains("stream=1"))
+    }
+
+    /// Answers the next calls with this list, up to a watch, which stays open.
+    fn tells(&self, list: &str) -> TcpStream {
+        loop {
+            let (mut stream, watch) = self.called();
+            if watch {
+                write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(list))
+                    .unwrap();
+                return stream;
+            }
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).unwrap();
+        }
+    }
+}
+
+/// Closes it with a reset.
+fn reset(stream: TcpStream) {
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+}
+
+fn serving(rev: u64, servers: &[(usize, &Server)]) -> String {
+    whole(rev, &servers.iter().map(|(uid, s)| target(*uid, s, "SERVING")).collect::<Vec<_>>())
+}
+
+/// Guards against a change that discovery had for six seconds: a silent watch and a call that hangs, one after the
+/// other, leave time for a connection that never comes up and the wait behind it (0.9 s).
+#[test]
+fn a_silent_watch_and_a_call_that_hangs_are_over_well_within_six_seconds() {
+    let (old, new) = (Server::start(true), Server::start(true));
+    let proxy = Proxy::start(&[&old]);
+    let agent = Agent::new();
+    proxy.reload(&configuration_at(agent.address()));
+    let _silent = agent.tells(&serving(2, &[(0, &old)]));
+    let since = Instant::now();
+    let (_hung, _) = agent.called();
+    let _watch = agent.tells(&serving(3, &[(7, &new)]));
+    assert!(since.elapsed() < Duration::from_millis(5100), "{:?}", since.elapsed());
+    let mut client = proxy.client();
+    while new.runs() == 0 {
+        assert!(since.elapsed() < Duration::from_millis(5100), "told, and not heard");
+        client.query(&write(1, 900));
+    }
+}
+
+/// Guards against missing a drain that the old address tells while the new one is silent, and against a new address
+/// that is given up too late: what it has counts 4 s after SIGHUP.
+#[test]
+fn a_drain_told_while_sighup_replaces_the_watch_binds() {
+    let (primary, replica, next) = (Server::start(true), Server::start(false), Server::start(true));
+    let proxy = Proxy::start(&[&primary, &replica]);
+    let agent = Agent::new();
+    proxy.reload(&configuration_at(agent.address()));
+    let since = Instant::now();
+    let (_hung, _) = agent.called();
+    let entry = target(1, &replica, "DRAINING");
+    proxy.discovery.push(&format!(r#"{{"rev":2,"all":false,"targets":[{entry}]}}"#));
+    let pushed = Instant::now();
+    let mut client = proxy.client();
+    while pushed.elapsed() < Duration::from_millis(400) {
+        client.query(&read(1));
+    }
+    let before = replica.runs();
+    for id in 2..10 {
+        assert_eq!(client.query(&read(id)), SERVED);
+    }
+    assert_eq!(replica.runs(), before, "it drains");
+    let _watch = agent.tells(&serving(3, &[(7, &next)]));
+    assert!(since.elapsed() < Duration::from_millis(3100), "{:?}", since.elapsed());
+    proxy.discovery.ended();
+}
+
+/// Guards against losing a watch over an entry that is broken into lines, and against taking the end of a
+/// connection for the end of what it told.
+#[test]
+fn a_list_may_come_indented_and_half_a_list_is_none() {
+    let (old, new) = (Server::start(true), Server::start(true));
+    let proxy = Proxy::start(&[&old]);
+    let agent = Agent::new();
+    proxy.reload(&configuration_at(agent.address()));
+    let list = serving(2, &[(0, &old)]);
+    // Without a length, half of it, and a reset or an end: asked again.
+    for ends in [reset as fn(TcpStream), drop] {
+        let (mut stream, _) = agent.called();
+        write!(stream, "HTTP/1.1 200 OK\r\n\r\n{}", &list[..list.len() - 9]).unwrap();
+        ends(stream);
+    }
+    let mut watch = agent.tells(&list);
+    let change = format!(r#"{{"rev":3,"all":true,"targets":[{}]}}"#, target(7, &new, "SERVING"));
+    let indented = change.replace('{', "{\n  ").replace(',', ",\n  ").replace('}', "\n}");
+    // A brace within a name is none.
+    watch.write_all(chunk(&indented.replace("\"az\":\"a\"", r#""az":"}\"{""#)).as_bytes()).unwrap();
+    let mut client = proxy.client();
+    let begun = Instant::now();
+    while new.runs() == 0 {
+        assert!(begun.elapsed() < Duration::from_secs(5), "told, and not heard");
+        client.query(&write(1, 900));
+    }
+}
+
+/// Guards against an attempt that waits for its connection when its client leaves, and begins when that comes up;
+/// also where attempts may not be cancelled. Both fronts.
+#[test]
+fn a_request_whose_client_left_while_its_link_came_up_is_not_sent() {
+    for cancel in ["true", "false"] {
+        for extended in [false, true] {
+            let primary = Server::start(true);
+            primary.hold();
+            let shell = patient(&format!("s/\"cancel\":true/\"cancel\":{cancel}/"));
+            let proxy = Proxy::start_by(&[&primary], &shell, "");
+            let mut client = if extended { proxy.extended() } else { proxy.client() };
+            let unit = "P - INSERT INTO entries VALUES ($1) /* c=write,d=9000 */ | B - - 7f | E - | S";
+            client.send(&if extended { messages(unit) } else { simple(&write(1, 9000)) });
+            primary.wait("held");
+            drop(client);
+            told(&proxy, "pending=0\n");
+            primary.greet();
+            assert_eq!(proxy.client().query(&write(2, 9000)), SERVED);
+            let log = primary.log();
+            assert!(log.len() == 1 && log[0].contains("id=2,"), "{cancel} {extended}: {log:?}");
+        }
+    }
+}
+
+/// Guards against a client that sends much at once and goes: its close stands behind bytes that are not read yet.
+#[test]
+fn a_close_behind_unread_commands_is_seen_at_once() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut client = proxy.client();
+    let many: Vec<u8> = (2..100).flat_map(|id| simple(&read(id))).collect();
+    client.send(&[simple(&write(1, 15_000)), many].concat());
+    primary.wait("hang");
+    let left = Instant::now();
+    drop(client);
+    primary.wait("end");
+    assert!(left.elapsed() < Duration::from_secs(2), "{:?}", left.elapsed());
+    assert_eq!(proxy.client().query(&write(200, 900)), SERVED);
+    assert_eq!(primary.runs(), 2, "none of the others was sent");
+}
+
+/// Guards against an attempt that waits for its connection while its member is told to drain: it would begin after
+/// the time in which that binds.
+#[test]
+fn an_attempt_that_has_not_begun_leaves_a_member_that_drains() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    replica.hold();
+    let mut proxy = Proxy::start_by(&[&primary, &replica], &patient(""), "");
+    let mut client = proxy.client();
+    assert_eq!(client.query(&write(1, 900)), SERVED, "the primary is known");
+    client.send(&simple(&read(2)));
+    replica.wait("held");
+    let entry = target(1, &replica, "DRAINING");
+    proxy.discovery.push(&format!(r#"{{"rev":2,"all":false,"targets":[{entry}]}}"#));
+    assert_eq!(client.answer(), SERVED, "by the primary");
+    replica.greet();
+    drop(client);
+    proxy.signal("-TERM");
+    assert!(proxy.child.wait().unwrap().success());
+    replica.wait("end");
+    assert_eq!((primary.runs(), replica.log().len()), (2, 0));
+}
+
+/// Guards against data that was fresh enough when a replica was picked, and is not when the connection comes up at
+/// last: where members do not check, only the proxy keeps it out. Both fronts.
+#[test]
+fn a_bounded_read_that_begins_late_goes_elsewhere() {
+    for extended in [false, true] {
+        let (primary, replica) = (Server::start(true), Server::start(false));
+        let bound = "s/\"hold\"/\"silent\"/;s/\"loose\"/\"recent\"/;\
+            s/\"counted_from_us\"/\"class_bound_us\":[0,700000,0],&/;s/\"probes\":false/\"probes\":true/";
+        let proxy = Proxy::start_by(&[&primary, &replica], &patient(bound), "");
+        let mut client = if extended { proxy.extended() } else { proxy.client() };
+        let unit = "P - SELECT payload FROM entries WHERE ref = $1 /* c=any,d=9000 */ | B - - r | E - | S";
+        let late = read(1).replace("d=900", "d=9000");
+        let ask = if extended { messages(unit) } else { simple(&late) };
+        assert_eq!(proxy.client().query(&write(1, 900)), SERVED, "the primary is known");
+        // Served by the replica, which closes: its position is known, and the next read needs a connection.
+        let begun = Instant::now();
+        while replica.runs() == 0 {
+            assert!(begun.elapsed() < Duration::from_secs(10));
+            replica.seen.lock().unwrap().plan = [Does::ServeAndClose].into();
+            client.send(&ask);
+            client.answer();
+        }
+        let runs = replica.runs();
+        replica.hold();
+        let asked = Instant::now();
+        client.send(&ask);
+        let answer = client.answer();
+        let (took, at) = (asked.elapsed(), replica.runs());
+        replica.greet();
+        assert!(answer.contains("D(value)") || answer.contains("53300"), "{answer}");
+        assert!(took < Duration::from_millis(2500), "{took:?}");
+        assert_eq!(at, runs, "{answer} after {took:?}");
+        drop(client);
+        let mut proxy = proxy;
+        proxy.signal("-TERM");
+        assert!(proxy.child.wait().unwrap().success());
+        assert_eq!(replica.runs(), runs, "nor does it begin later");
+    }
+}
+
+/// Guards against a reset that takes the last answer along: the connection is closed over bytes not read.
+#[test]
+fn what_is_said_before_a_close_over_unread_bytes_arrives_and_the_close_is_clean() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    for address in [proxy.address, proxy.extended.unwrap()] {
+        let mut client = Client::open(address);
+        let more = vec![b'x'; 100_000];
+        client.send(&[b"Q\0\0\0\x02".to_vec(), more.clone()].concat());
+        assert_eq!(client.answers(|tag| tag == b'E'), "E(08P01)");
+        // The proxy has closed its side, and ours still stands: nothing is reset.
+        assert_eq!(client.stream.read(&mut [0; 16]).unwrap(), 0);
+        client.send(&more);
+        client.send(&more[..1000]);
+        assert_eq!(client.stream.read(&mut [0; 16]).unwrap(), 0);
+    }
+}
+
+/// Guards against a command that arrives as its connection is closed at the end of the process: it is not served,
+/// and nothing is reset, so that the client can tell that it was not read.
+#[test]
+fn a_command_that_crosses_the_close_after_sigterm_is_not_sent_on() {
+    let primary = Server::start(true);
+    let mut proxy = Proxy::start(&[&primary]);
+    let mut resting = proxy.client();
+    assert_eq!(resting.query(&read(1)), SERVED);
+    // One that keeps the process from ending at once: its request is under way.
+    let mut hung = proxy.client();
+    primary.plan(&[Does::Hang(b'Q')]);
+    hung.send(&simple(&write(2, 9_000)));
+    primary.wait("hang");
+    proxy.signal("-TERM");
+    assert_eq!(resting.answer(), "end", "closed between requests");
+    resting.send(&simple(&read(3)));
+    resting.send(&simple(&read(4)));
+    let read = resting.stream.read(&mut [0; 16]);
+    assert!(matches!(read, Ok(0)), "a clean end, not {read:?}");
+    drop(resting);
+    assert_eq!(hung.answer(), "E(08007) Z");
+    assert!(proxy.child.wait().unwrap().success());
+    assert_eq!(primary.runs(), 2);
+}
+
+/// Guards against half a command, or one read in the last moment, that keeps the process from ending in time, and
+/// against one that is read and never answered.
+#[test]
+fn the_end_comes_in_time_and_nothing_read_is_left_without_an_answer() {
+    let primary = Server::start(true);
+    let mut proxy = Proxy::start(&[&primary]);
+    let (mut half, mut busy) = (proxy.client(), proxy.client());
+    let begun = Instant::now();
+    proxy.signal("-TERM");
+    // A client that sends on for as long as the connection stays open: every command is answered, or the end comes
+    // before the first byte of an answer.
+    let mut last = String::new();
+    for id in 10.. {
+        if begun.elapsed() > Duration::from_millis(1800) && last.is_empty() {
+            half.send(&simple(&read(1))[..30]);
+            last = "half sent".into();
+        }
+        if busy.stream.write_all(&simple(&read(id))).is_err() {
+            break;
+        }
+        match busy.answer().as_str() {
+            SERVED => {}
+            "end" => break,
+            other => panic!("{other}"),
+        }
+    }
+    assert!(!half.answers(|_| false).contains("D("), "half a command is none");
+    assert!(proxy.child.wait().unwrap().success());
+    assert!(begun.elapsed() < Duration::from_millis(3700), "{:?}", begun.elapsed());
+}
+
+/// Guards against idle clients that fill all descriptors while discovery is away: the watch must come up again, and
+/// so must a link to a member that is new. The limit is the system's, lower than the configuration says.
+#[test]
+fn idle_clients_leave_descriptors_for_discovery_and_members() {
+    let (old, new) = (Server::start(true), Server::start(true));
+    let proxy = Proxy::start_by(&[&old], "ulimit -n 96; exec \"$0\" serve", "");
+    let agent = Agent::new();
+    let mut idle = Vec::new();
+    while idle.len() < 200 {
+        let mut client = Client::raw(proxy.address);
+        client.stream.write_all(&[startup(), simple(&read(idle.len() as u32))].concat()).unwrap();
+        idle.push(client);
+    }
+    // All that it holds is taken; now discovery comes back elsewhere, and a member is new there.
+    assert_eq!(idle[0].stream.read(&mut [0; 1]).unwrap(), 1);
+    proxy.reload(&configuration_at(agent.address()));
+    let _watch = agent.tells(&serving(2, &[(7, &new)]));
+    let begun = Instant::now();
+    while new.runs() == 0 {
+        assert!(begun.elapsed() < Duration::from_secs(10), "the new member is reached");
+        let mut client = Client::raw(proxy.address);
+        let _ = client.stream.write_all(&[startup(), simple(&write(1000, 900))].concat());
+        let _ = client.answers(|tag| tag == b'E' || tag == b'C');
+    }
+}
+
+/// Guards against a failed start where the process before this one still holds the address, and against waiting for
+/// a discovery that says nothing: ready within 10 s.
+#[test]
+fn a_restarted_process_is_ready_in_time() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = taken.local_addr().unwrap();
+    let shell = format!(
+        "sed -i 's/\"listen\":\"127.0.0.1:0\"/\"listen\":\"{at}\"/' \"$GW_CONFIG\"; exec \"$0\" serve"
+    );
+    let begun = Instant::now();
+    // The process before takes this long to go.
+    let free = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(700));
+        drop(taken);
+    });
+    // Discovery takes the watch and says nothing.
+    let proxy = Proxy::start_by(&[], &shell, "");
+    assert!(begun.elapsed() < Duration::from_secs(10));
+    free.join().unwrap();
+    assert_eq!(proxy.address, at);
+}
+
+/// Guards against turning a client away because the connection that was idle longest has just begun its next
+/// command: another one that is idle makes room.
+#[test]
+fn a_command_that_has_begun_keeps_its_connection_and_another_makes_room() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_in(&[&primary], "exec \"$0\" serve", "", "\"sockets\":64");
+    let mut kept: Vec<_> = Vec::new();
+    // As many as there is room for: the next one is turned away, as none has been idle for long.
+    loop {
+        let mut client = Client::raw(proxy.address);
+        client.send(&[startup(), simple(&read(kept.len() as u32))].concat());
+        if client.answers(|tag| tag == b'E' || tag == b'C').contains("53300") {
+            break;
+        }
+        client.answer();
+        kept.push(client);
+    }
+    let last = kept.len() - 1;
+    // The first begins a command. Once the last has been answered twice, that has been read.
+    let (first, text) = (0, simple(&read(500)));
+    kept[first].send(&text[..20]);
+    let begun = Instant::now();
+    let mut id = 1000;
+    while begun.elapsed() < Duration::from_millis(2050) {
+        assert_eq!(kept[last].query(&read(id)), SERVED);
+        id += 1;
+    }
+    let mut newcomer = Client::open(proxy.address);
+    assert_eq!(newcomer.query(&read(600)), SERVED);
+    kept[first].send(&text[20..]);
+    assert_eq!(kept[first].answer(), SERVED, "the command that had begun is served");
+}
+
+/// Guards against taking bytes that a member says at rest for an answer, and against losing a request to a link that
+/// its member closed.
+#[test]
+fn half_a_line_from_a_member_at_rest_costs_nothing() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let mut client = proxy.client();
+    for id in 1..6 {
+        primary.plan(&[Does::ServeAnd(b"T\0\0\0")]);
+        assert_eq!(client.query(&write(2 * id, 900)), SERVED);
+        assert_eq!(client.query(&write(2 * id + 1, 900)), SERVED);
+    }
+    assert_eq!(primary.runs(), 10);
+}
+
+/// Guards against a cancel that meets the answer of its request: the next request is not hit, and each has one
+/// answer.
+#[test]
+fn a_cancel_that_comes_after_the_answer_hits_nothing() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    let mut client = proxy.client();
+    assert_eq!(client.query(&write(1, 900)), SERVED);
+    let mut cancel = Client::raw(proxy.address);
+    cancel.send(&[&[0, 0, 0, 16, 4, 210, 22, 46][..], &client.key].concat());
+    let end = cancel.stream.read(&mut [0; 16]);
+    assert!(matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+    assert_eq!(client.query(&write(2, 900)), SERVED);
+    assert_eq!(primary.runs(), 2);
+}
+
+/// Guards against a write that is lost, or runs twice, as its primary changes: one that waits goes to the new one,
+/// one that was in flight fails as one that may have run.
+#[test]
+fn a_change_of_primary_sends_no_write_twice() {
+    let (old, new) = (Server::start(true), Server::start(true));
+    let proxy = Proxy::start_by(&[&old], &patient(""), "");
+    let mut flying = proxy.client();
+    old.plan(&[Does::Hang(b'Q')]);
+    flying.send(&simple(&write(1, 4000)));
+    old.wait("hang");
+    old.hold();
+    let mut waiting = proxy.client();
+    waiting.send(&simple(&write(2, 4000)));
+    old.wait("held");
+    proxy.discovery.push(&serving(2, &[(7, &new)]));
+    assert_eq!(waiting.answer(), SERVED);
+    old.greet();
+    assert_eq!(flying.answer(), "E(08007) Z");
+    assert_eq!((old.runs(), new.runs()), (1, 1));
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs)]
 
+mod crossings;
 mod daemon;
 mod extended;
 mod operations;
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Longer than anything here takes; reached only by a test that fails.
@@ -48,8 +48,10 @@
     pub address: SocketAddr,
     pub primary: bool,
     pub seen: Arc<Mutex<Seen>>,
-    /// A word when a connection ends, and when a message was taken that is not answered.
+    /// A word when a connection ends, when a message was taken that is not answered, and when a greeting is held.
     pub ended: Arc<Mutex<Receiver<&'static str>>>,
+    /// Greetings are held back.
+    held: Arc<(Mutex<bool>, Condvar)>,
 }
 
 pub fn now_ms() -> u64 {
@@ -85,6 +87,7 @@
             primary,
             seen: Arc::default(),
             ended: Arc::new(Mutex::new(ended)),
+            held: Arc::default(),
         };
         let at = server.clone();
         std::thread::spawn(move || {
@@ -99,6 +102,17 @@
         server
     }
 
+    /// Takes connections from now on, and greets nobody until [`Server::greet`].
+    pub fn hold(&self) {
+        *self.held.0.lock().unwrap() = true;
+    }
+
+    /// Greets all that waits, and whoever comes.
+    pub fn greet(&self) {
+        *self.held.0.lock().unwrap() = false;
+        self.held.1.notify_all();
+    }
+
     pub fn plan(&self, does: &[Does]) {
         self.seen.lock().unwrap().plan.extend(does);
     }
@@ -122,6 +136,14 @@
         stream.read_exact(&mut length).ok()?;
         let mut body = vec![0; u32::from_be_bytes(length) as usize - 4];
         stream.read_exact(&mut body).ok()?;
+        let mut held = self.held.0.lock().unwrap();
+        if *held {
+            let _ = words.send("held");
+        }
+        while *held {
+            held = self.held.1.wait(held).unwrap();
+        }
+        drop(held);
         let mut out = Vec::new();
         put(&mut out, b'R', &[0; 4]);
         put(&mut out, b'Z', b"I");
@@ -261,7 +283,7 @@
     watched: Receiver<()>,
 }
 
-fn chunk(text: &str) -> String {
+pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
 }
 
@@ -337,16 +359,20 @@
 }
 
 pub fn configuration(discovery: &Discovery) -> String {
-    format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":1024}},"settings":{SETTINGS}}}"#,
-        discovery.address
-    )
+    configuration_at(discovery.address)
 }
 
 pub fn whole(rev: u64, targets: &[String]) -> String {
     format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","))
 }
 
+/// The same with discovery at this address.
+pub fn configuration_at(discovery: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f","limits":{{"sockets":1024}},"settings":{SETTINGS}}}"#
+    )
+}
+
 const SETTINGS: &str = r#"{"request_classes":[
  {"name":"own","aim_us":400000,"deadline_us":1200000,"effect":"safe","credit":3},
  {"name":"any","aim_us":400000,"deadline_us":1000000,"effect":"safe","credit":3,"late_share":0.2},
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -200,7 +200,7 @@
 ) {
     for a in actions {
         match a {
-            Action::Send { request, server, timeout } => {
+            Action::Send { request, server, timeout, .. } => {
                 let r = &check.requests[request];
                 let attempt = r.attempts.len() as u32 - 1;
                 let write = settings.classes[r.class].need == Need::Write;
