Cold primaries keep to one budget in a fleet of any size; cancels heard without room

Cause: at a cold primary reads had a budget of 0.4 beside 1.0 for writes (balance.rs, cold_rate), and half a window could be saved up. Now reads there come off the writes' budget, writes get 0.8 and save half as much.

A cancel is heard also where there is no room for its connection, whichever of the two is handled first; the test forces the one order, and failed without the lines in front/mod.rs.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,8 +41,8 @@
 const WINDOW_USED: f64 = 0.95; // Part of a keyed request's window to send in, and for one attempt.
 const WINDOW_TRY: f64 = 0.5;
 const COLD_SHARE: f64 = 0.4; // A cold member gets this share of what would knock it over, were all full.
-const COLD_LEAD: f64 = 1.0; // ... and a cold primary this, for what only it can do: others take the reads.
-const COLD_SAVED: f64 = 0.5; // Part of the window in which it can be knocked over that work is saved for.
+const COLD_LEAD: f64 = 0.8; // ... and a cold primary this, for what only it can do: others take the reads.
+const COLD_SAVED: f64 = 0.5; // Part of the window in which it falls that reads are saved for; writes half.
 const ROOM_CHEAP: f64 = 0.5; // Share of the limit that the cheapest work may use, and the dearest.
 const ROOM_DEAR: f64 = 1.4;
 const REPEAT_WORTH: f64 = 0.3; // Chance that a client's repeat still meets the aim, run from its first try.
@@ -719,7 +719,7 @@
     fn cold_saved(&self, s: usize, class: usize) -> f64 {
         let (v, bound) = (&self.servers[s], self.bound(class));
         let ((saved, at), rate) = (v.cold_work[bound], self.cold_rate(s, bound));
-        let most = rate * self.cfg.fall_time as f64 * COLD_SAVED / 1e6;
+        let most = rate * self.cfg.fall_time as f64 * COLD_SAVED / (1 + bound) as f64 / 1e6;
         // Of what only a primary can do a whole request may be saved, as it comes seldom at one router.
         let most = most.max(self.base[class].0 * bound as f64);
         (saved + rate * (self.now - at.max(v.started)) as f64 / 1e6).min(most)
@@ -752,14 +752,14 @@
             Effect::Keyed { window, .. } => (window as f64 * WINDOW_TRY).max(KEYED_TIME * base),
             Effect::Safe | Effect::Unsafe => f64::INFINITY,
         };
-        let timeout = (end - now).min(most as Micros);
-        let attempt = p.attempts;
+        let (timeout, attempt) = ((end - now).min(most as Micros), p.attempts);
         (p.attempts, p.held, p.flying) = (attempt + 1, None, Some(attempt));
         self.sends += 1;
         let v = &mut self.servers[s];
         (v.turn, v.used) = (self.sends, now);
         v.out.push(Out { request: id, attempt, sent: now, class: p.req.class });
         v.cold_work[bound] = ((saved - base).max(-base), now);
+        v.cold_work[1].0 -= base * (1 - bound) as f64; // What is read there is not left for writes.
         v.trial_at = v.trial_at.max(now + TRIAL_WAIT);
         out.push(Action::Send { request: id, server: v.id, timeout: timeout.max(1), within });
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -271,6 +271,12 @@
             self.clients.insert(id, client);
             return out;
         }
+        // A cancel is heard also where there was no room for the connection that brings it.
+        if let Said::Opening(Opening::Cancel { process, secret }) = said {
+            self.gone(desk, id, &mut out);
+            self.cancel(desk, now, process, secret, &mut out);
+            return out;
+        }
         let Some(client) = self.clients.get_mut(&id) else { return out };
         match said {
             Said::Connected { .. } => {}
@@ -280,10 +286,7 @@
                 pg::put_greeting(&mut bytes, id as u32, client.secret);
                 out.push(Out::Write(id, bytes));
             }
-            Said::Opening(Opening::Cancel { process, secret }) => {
-                self.gone(desk, id, &mut out);
-                self.cancel(desk, now, process, secret, &mut out);
-            }
+            Said::Opening(Opening::Cancel { .. }) => {}
             Said::Command(command) => {
                 client.queue.push_back(command);
                 self.next(desk, now, id, &mut out);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -480,14 +480,16 @@
     }
 
     /// Closes the connection that has lingered longest, for the sake of its descriptor; `false` if there is none.
+    /// Those that have not had all of their answer come last.
     fn hurry(&mut self) -> bool {
-        while let Some(id) = self.lingering.pop_front() {
-            if self.guests.contains_key(&id) {
-                self.leave(id);
-                return true;
-            }
+        let had = |id: &ClientId| self.guests.get(id).is_none_or(|g| g.shared.state().unwritten() == 0);
+        let at = self.lingering.iter().position(had).unwrap_or(0);
+        let Some(id) = self.lingering.remove(at) else { return false };
+        if self.guests.contains_key(&id) {
+            self.leave(id);
+            return true;
         }
-        false
+        self.hurry()
     }
 
     fn listen(&mut self) {
@@ -603,6 +605,7 @@
                     Ok(n) => {
                         guest.waste += n;
                         open = n > 0 && guest.waste < LINGER_BYTES;
+                        guest.cancels(id, &self.scratch[..n], &self.messages);
                     }
                     Err(e) => open = matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
                 }
@@ -773,6 +776,20 @@
         Ok(last.then_some(Next::Done))
     }
 
+    /// Guards against a cancel that is not heard because there is no room for its connection.
+    fn cancels(&mut self, id: ClientId, bytes: &[u8], messages: &Messages) {
+        if matches!(self.stage, Stage::Opening) && self.waste == bytes.len() {
+            self.frames.push(bytes);
+            if let Ok(Some(opening @ pg::Opening::Cancel { .. })) = self.frames.opening() {
+                let _ = messages.send(match self.extended {
+                    true => Message::Extended(id, Said::Opening(opening)),
+                    false => Message::Client(id, Said::Opening(opening)),
+                });
+            }
+            self.frames = Frames::default();
+        }
+    }
+
     /// Room for one more command, or the connection is read from no more until there is.
     fn room(&mut self) -> bool {
         let shared = &self.shared;
--- a/tests/proxy/crossings.rs
+++ b/tests/proxy/crossings.rs
@@ -444,6 +444,30 @@
     assert_eq!(primary.runs(), 2);
 }
 
+/// Guards against a cancel that is not heard because clients hold all the room there is.
+#[test]
+fn a_cancel_is_heard_where_there_is_no_room_for_its_connection() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start_in(&[&primary], "exec \"$0\" serve", "", "\"sockets\":64");
+    primary.plan(&[Does::Hang(b'Q')]);
+    let mut hung = proxy.client();
+    hung.send(&simple(&write(1, 15_000)));
+    primary.wait("hang");
+    // As many as there is room for, each just served: none makes room.
+    let (mut kept, mut full) = (Vec::new(), false);
+    while !full {
+        let mut client = Client::raw(proxy.address);
+        client.send(&[startup(), simple(&write(100 + kept.len() as u32, 900))].concat());
+        full = client.answers(|tag| tag == b'E' || tag == b'C').contains("53300");
+        kept.push(client);
+    }
+    let mut cancel = Client::raw(proxy.address);
+    cancel.send(&[&[0, 0, 0, 16, 4, 210, 22, 46][..], &hung.key].concat());
+    let asked = Instant::now();
+    assert_eq!(hung.answer(), "E(08007) Z");
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+}
+
 /// Guards against a write that is lost, or runs twice, as its primary changes: one that waits goes to the new one,
 /// one that was in flight fails as one that may have run.
 #[test]
