--- a/src/config.rs
+++ b/src/config.rs
@@ -91,8 +91,8 @@
         if let Ok(name) = std::env::var("GW_NAME") {
             config.name = name;
         }
-        // What the system allows, where that is less: the shares of clients and links must leave the proxy what it
-        // needs itself, above all the way to discovery.
+        // What the system allows, where that is less: the shares of clients and links must leave the proxy
+        // what it needs itself, above all the way to discovery.
         let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let allowed = allowed.and_then(|n| usize::try_from(n).ok()).unwrap_or(MOST_SOCKETS);
         config.sockets = config.limits.sockets.min(allowed).min(MOST_SOCKETS);
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -111,8 +111,8 @@
         Taken { link: Some((self.last, Some(address))), idle: None, evicted }
     }
 
-    /// A link has nothing to do; it goes back only if it is `open` and still leads to its member. `false` if it
-    /// is to be closed. Guards against a member that has moved, or a job that ended as its link was cut.
+    /// A link has nothing to do; it goes back only if it is `open` and still leads to its member. `false` if
+    /// it is to be closed. Guards against a member that has moved, or a job that ended as its link was cut.
     pub fn free(&mut self, link: LinkId, open: bool, now: Micros) -> bool {
         let Some(l) = self.links.get_mut(&link) else { return true };
         if !open || l.idle.is_some() {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -176,8 +176,8 @@
         true
     }
 
-    /// Ends our side. Guards against a close over bytes that were not read: it resets the connection, and takes
-    /// along what the client has not had yet of its answer.
+    /// Ends our side. Guards against a close over bytes that were not read: it resets the connection, and
+    /// takes along what the client has not had yet of its answer.
     fn half_close(&self) {
         let _ = self.stream.shutdown(Shutdown::Write);
     }
@@ -479,8 +479,8 @@
         let _ = self.messages.send(Message::Stopped);
     }
 
-    /// Closes the connection that has lingered longest, for the sake of its descriptor; `false` if there is none.
-    /// Those that have not had all of their answer come last.
+    /// Closes the connection that has lingered longest, for the sake of its descriptor; `false` if there is
+    /// none. Those that have not had all of their answer come last.
     fn hurry(&mut self) -> bool {
         let had = |id: &ClientId| self.guests.get(id).is_none_or(|g| g.shared.state().unwritten() == 0);
         let at = self.lingering.iter().position(had).unwrap_or(0);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,9 +11,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-// What discovery has to tell counts as told 6 s after it had it and could be reached, and 6 s after a watch fell
-// silent. The longest way there is a silent watch, a wait, a connection that never comes up, a wait, a call that
-// hangs, and one more wait: 2.4 + 0.25 + 0.4 + 0.5 + 1 + 1 s.
+// What discovery has to tell counts as told 6 s after it had it and could be reached, and 6 s after a watch
+// fell silent. The longest way there is a silent watch, a wait, a connection that never comes up, a wait, a
+// call that hangs, and one more wait: 2.4 + 0.25 + 0.4 + 0.5 + 1 + 1 s.
 
 /// An empty line comes every 2 s: a watch that ended no line for longer has ended without a sign.
 const SILENCE: Duration = Duration::from_millis(2400);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,7 +27,8 @@
 const UNREAD: usize = 1024;
 /// Threads need little: buffers are on the heap.
 const STACK: usize = 128 * 1024;
-/// Descriptors kept for the listener, discovery, logs and the like; with few, the part that these need at least.
+/// Descriptors kept for the listener, discovery, logs and the like; with few, the part that these need at
+/// least.
 const SPARE: usize = 40;
 const NEEDED: usize = 14;
 /// Connections of clients beyond the most, which the loop has still to turn away, or which linger.
@@ -59,8 +60,8 @@
 const OVERLAP: usize = 3;
 /// After SIGTERM, new connections are taken for this long where the next process accepts them, too.
 const ACCEPT_FOR: Micros = 500_000;
-/// How long the program waits at its end for clients to take answers and close, and what it leaves of the time
-/// before SIGKILL.
+/// How long the program waits at its end for clients to take answers and close, and what it leaves of the
+/// time before SIGKILL.
 const LAST_WRITES: Micros = 1_000_000;
 const SPARED: Micros = 30_000;
 
@@ -136,7 +137,8 @@
     let recovered = move |state: State| drop(stored.try_send(Message::Stored(state.members)));
     let store = Store::start(replicas, config.seed, recovered)?;
     let callers = config.ops.map_or(0, |_| ops::CALLERS);
-    // Guards against clients or links that take the last descriptor: news of the list must come in whatever they do.
+    // Guards against clients or links that take the last descriptor: news of the list must come in whatever
+    // they do.
     let left = config.sockets.saturating_sub(NEEDED + callers);
     let spare = (SPARE - NEEDED).min(left / 2);
     let (budget, door) = (left.saturating_sub(spare).max(2), DOOR.min(spare));
@@ -431,8 +433,8 @@
             Ok(watch) => {
                 tracing::info!(discovery = %address, "following discovery to another address");
                 let before = std::mem::replace(&mut self.watch, watch);
-                // Guards against missing what the old address tells until the new one has spoken. One that has
-                // not spoken itself tells nothing that counts.
+                // Guards against missing what the old address tells until the new one has spoken. One that
+                // has not spoken itself tells nothing that counts.
                 self.before.get_or_insert(before);
             }
             Err(e) => tracing::error!(error = %e, "no thread for another watch; the old one goes on"),
