--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -482,14 +482,12 @@
     /// Closes the connection that has lingered longest, for the sake of its descriptor; `false` if there is
     /// none. Those that have not had all of their answer come last.
     fn hurry(&mut self) -> bool {
-        let had = |id: &ClientId| self.guests.get(id).is_none_or(|g| g.shared.state().unwritten() == 0);
+        self.lingering.retain(|id| self.guests.contains_key(id));
+        let had = |id: &ClientId| self.guests[id].shared.state().unwritten() == 0;
         let at = self.lingering.iter().position(had).unwrap_or(0);
-        let Some(id) = self.lingering.remove(at) else { return false };
-        if self.guests.contains_key(&id) {
-            self.leave(id);
-            return true;
-        }
-        self.hurry()
+        let id = self.lingering.remove(at);
+        id.into_iter().for_each(|id| self.leave(id));
+        id.is_some()
     }
 
     fn listen(&mut self) {
@@ -642,6 +640,10 @@
         if open {
             next = guest.advance(id, &self.settings, &self.messages);
         } else {
+            // Whoever cancels may close at once: that is no reason not to hear it.
+            if let Ok(n) = (&shared.stream).read(&mut self.scratch) {
+                guest.cancels(id, &self.scratch[..n], &self.messages);
+            }
             guest.tell_gone(id, &self.messages);
         }
         if !open {
@@ -776,9 +778,10 @@
         Ok(last.then_some(Next::Done))
     }
 
-    /// Guards against a cancel that is not heard because there is no room for its connection.
+    /// Guards against a cancel that is not heard because there is no room for its connection, or because that
+    /// is closed already: the first bytes of a connection that is not taken may still be one.
     fn cancels(&mut self, id: ClientId, bytes: &[u8], messages: &Messages) {
-        if matches!(self.stage, Stage::Opening) && self.waste == bytes.len() {
+        if matches!(self.stage, Stage::Opening) && self.waste <= bytes.len() {
             self.frames.push(bytes);
             if let Ok(Some(opening @ pg::Opening::Cancel { .. })) = self.frames.opening() {
                 let _ = messages.send(match self.extended {
--- a/tests/proxy/crossings.rs
+++ b/tests/proxy/crossings.rs
@@ -468,6 +468,25 @@
     assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
 }
 
+/// Guards against a cancel whose connection is closed behind it at once, as a client that does not wait would.
+#[test]
+fn a_cancel_is_heard_though_its_connection_is_closed_at_once() {
+    let primary = Server::start(true);
+    let proxy = Proxy::start(&[&primary]);
+    for id in 0..20 {
+        primary.plan(&[Does::Hang(b'Q')]);
+        let mut hung = proxy.client();
+        hung.send(&simple(&write(id, 15_000)));
+        primary.wait("hang");
+        let mut cancel = Client::raw(proxy.address);
+        cancel.send(&[&[0, 0, 0, 16, 4, 210, 22, 46][..], &hung.key].concat());
+        drop(cancel);
+        let asked = Instant::now();
+        assert_eq!(hung.answer(), "E(08007) Z");
+        assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    }
+}
+
 /// Guards against a write that is lost, or runs twice, as its primary changes: one that waits goes to the new one,
 /// one that was in flight fails as one that may have run.
 #[test]
