A lost write that is not sent again does not use up the retries of reads

Cause: on_outcome (balance.rs) charged the retry budget for a failed write that must not run twice, though nothing is sent again; on a busy machine an attempt takes longer than usual and costs a whole retry, and the read behind it was refused for want of one. The module test failed without it: "read 1 is not tried again: [Refuse ...]".

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -884,17 +884,17 @@
             if outcome != Outcome::Error || !matches!(need, Need::Write | Need::Latest) {
                 p.tried.push(s);
             }
+            // Guards against lost writes, which are not sent again, using up the retries of reads.
+            let over = p.ran.is_some() && self.cfg.classes[o.class].effect == Effect::Unsafe;
+            let usual = if outcome == Outcome::Full { 1.0 } else { (elapsed as f64 / base).min(1.0) };
+            let cost = if over || matches!(outcome, Miss | Moot) { 0.0 } else { usual };
             if finished {
                 self.finish(id, out);
+            } else if self.retries < cost {
+                self.give_up(id, out);
             } else {
-                let usual = if outcome == Outcome::Full { 1.0 } else { elapsed as f64 / base };
-                let cost = if matches!(outcome, Miss | Moot) { 0.0 } else { usual.min(1.0) };
-                if self.retries < cost {
-                    self.give_up(id, out);
-                } else {
-                    self.retries -= cost;
-                    self.advance(id, out);
-                }
+                self.retries -= cost;
+                self.advance(id, out);
             }
         }
         let after = self.groups.get(&group_id).and_then(|g| g.primary);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -680,3 +680,28 @@
     let writes = (100..110).filter(|id| sent(&rig.ask(*id, WRITE)) == Some(1)).count();
     assert!(writes >= 3, "{writes} of 10 writes found room behind {} reads", at[1]);
 }
+
+/// Guards against writes that are lost, and are not sent again, using up what reads may be retried.
+#[test]
+fn lost_writes_do_not_use_up_the_retries_of_reads() {
+    let mut rig = Rig::known(settings(), 3);
+    for id in 1..40 {
+        rig.pass(100 * MS);
+        let to = sent(&rig.ask(10 * id, UNSAFE)).unwrap();
+        let lost = ended(10 * id, 0, to, Outcome::Reset);
+        let after = rig.event(Event::Outcome(Ended { elapsed: 300 * MS, ..lost }));
+        assert!(failed(&after, 10 * id), "{id}");
+        // Five reads earn one retry; the first needs it, and takes its whole time for it.
+        for read in 1..=5 {
+            let to = sent(&rig.ask(10 * id + read, ANY)).unwrap();
+            if read > 1 {
+                rig.end(10 * id + read, 0, to, Outcome::Ok, None);
+                continue;
+            }
+            let lost = ended(10 * id + read, 0, to, Outcome::Reset);
+            let after = rig.event(Event::Outcome(Ended { elapsed: 300 * MS, ..lost }));
+            let again = sent(&after).unwrap_or_else(|| panic!("read {id} is not tried again: {after:?}"));
+            rig.end(10 * id + read, 1, again, Outcome::Ok, None);
+        }
+    }
+}
