--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -166,3 +166,21 @@
 pub fn failed(actions: &[Action], id: u32) -> bool {
     actions.contains(&Action::Fail(id))
 }
+
+/// Chance that is the same every time.
+pub struct Dice(pub u64);
+
+impl Dice {
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % n
+    }
+
+    /// The time to the next of events that come at this rate a second, independently of each other.
+    pub fn gap(&mut self, rate: f64) -> Micros {
+        let part = (self.below(1 << 30) + 1) as f64 / f64::from(1 << 30);
+        (-part.ln() / rate * 1e6) as Micros
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,23 +11,6 @@
 const CAPACITY: f64 = 100.0;
 const MEMBERS: u64 = 4;
 
-struct Dice(u64);
-
-impl Dice {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % n
-    }
-
-    /// The time to the next of events that come at this rate, independently of each other.
-    fn gap(&mut self, rate: f64) -> Micros {
-        let part = (self.below(1 << 30) + 1) as f64 / f64::from(1 << 30);
-        (-part.ln() / rate * 1e6) as Micros
-    }
-}
-
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Happens {
     Comes,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -111,17 +111,6 @@
     }
 }
 
-struct Dice(u64);
-
-impl Dice {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % n
-    }
-}
-
 /// Plays a random stretch; `meddle` may change the actions, to show that the checker sees it.
 fn play(seed: u64, settings: Settings, meddle: &dyn Fn(&mut Vec<Action>)) -> Vec<String> {
     let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9) | 1);
