A retry that crosses the end as a test; the stand-in for discovery keeps its watches alive

Cause, from the program's log: the stand-in sent no empty lines, so that watches were opened anew every 2.4 s, and a drain pushed in the quarter of a second between two of them went to a dead connection. Real discovery sends an empty line every 2 s, and tells a new watch what it missed; the stand-in now does the first.

--- a/tests/proxy/crossings.rs
+++ b/tests/proxy/crossings.rs
@@ -301,6 +301,25 @@
     assert_eq!(primary.runs(), 2);
 }
 
+/// Guards against losing a request that has to be tried elsewhere while connections are closed at the end.
+#[test]
+fn a_request_that_is_retried_as_the_end_comes_is_answered() {
+    let (primary, replica) = (Server::start(true), Server::start(false));
+    replica.hold();
+    let mut proxy = Proxy::start_by(&[&primary, &replica], &patient(""), "");
+    let (mut client, mut resting) = (proxy.client(), proxy.client());
+    assert_eq!(resting.query(&write(1, 900)), SERVED, "the primary is known");
+    client.send(&simple(&read(2).replace("d=900", "d=9000")));
+    replica.wait("held");
+    proxy.signal("-TERM");
+    assert_eq!(resting.answer(), "end", "the end has come so far");
+    let entry = target(1, &replica, "DRAINING");
+    proxy.discovery.push(&format!(r#"{{"rev":2,"all":false,"targets":[{entry}]}}"#));
+    assert_eq!(client.answer(), SERVED, "by the primary");
+    assert!(proxy.child.wait().unwrap().success());
+    assert_eq!((primary.runs(), replica.log().len()), (2, 0));
+}
+
 /// Guards against half a command, or one read in the last moment, that keeps the process from ending in time, and
 /// against one that is read and never answered.
 #[test]
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -293,6 +293,15 @@
         let address = listener.local_addr().unwrap();
         let news: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let (tell, watched) = channel();
+        // An empty line now and then, as the protocol has it; a discovery that is down says nothing.
+        let beats = (!list.is_empty()).then(|| Arc::downgrade(&news));
+        std::thread::spawn(move || {
+            while let Some(streams) = beats.as_ref().and_then(std::sync::Weak::upgrade) {
+                streams.lock().unwrap().iter_mut().for_each(|s| drop(s.write_all(b"1\r\n\n\r\n")));
+                drop(streams);
+                std::thread::sleep(Duration::from_secs(1));
+            }
+        });
         let streams = news.clone();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
