--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,8 @@
 //! and knows no wire: what a request asks (`W`) and what an answer holds (`A`) pass through it unopened.
 
 mod pool;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub use pool::LinkId;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -27,6 +27,10 @@
 /// more or less of it is taken, so that hundreds of proxies do not call in step.
 const AGAIN: Duration = Duration::from_millis(200);
 const AGAIN_MOST: Duration = Duration::from_millis(800);
+const _: () = {
+    let waits = (AGAIN.as_millis() + AGAIN.as_millis() * 2 + AGAIN_MOST.as_millis()) * 5 / 4;
+    assert!(SILENCE.as_millis() + DIAL.as_millis() + CALL.as_millis() + waits < 5700);
+};
 /// The longest list that is read.
 const MAX_LIST: usize = 4 << 20;
 
