--- a/tests/proxy/races/mod.rs
+++ b/tests/proxy/races/mod.rs
@@ -5,6 +5,7 @@
 mod clock_steps;
 mod deadlines;
 mod discovery;
+mod discovery_outage;
 mod held_up;
 mod members;
 mod short_deadlines;
--- a/tests/proxy/support/discovery.rs
+++ b/tests/proxy/support/discovery.rs
@@ -44,7 +44,7 @@
 }
 
 /// Reads the head of an HTTP request, and returns the request line.
-fn read_request_line(stream: &TcpStream) -> std::io::Result<String> {
+pub(super) fn read_request_line(stream: &TcpStream) -> std::io::Result<String> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut request_line = String::new();
     reader.read_line(&mut request_line)?;
--- a/tests/proxy/support/mod.rs
+++ b/tests/proxy/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod discovery;
+mod discovery_agent;
 mod faults;
 mod fleet;
 mod fleet_limits;
@@ -15,6 +16,7 @@
     MockDiscovery, ScriptedDiscovery, chunk, endpoint_entry, endpoint_entry_in_group, endpoint_update,
     full_list, serving_list,
 };
+pub use discovery_agent::{AgentMode, DiscoveryAgent};
 pub use faults::Faults;
 pub use fleet::Fleet;
 pub use fleet_limits::COST_LIMITS;
