--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -75,3 +75,43 @@
     /// A simple query, which is a batch by itself.
     Query,
 }
+
+/// Why the connection of a client was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ClientCloseReason {
+    /// The client closed it, or sent Terminate.
+    ClosedByClient,
+    /// It carried a cancel request.
+    CancelRequest,
+    /// It sent something that can't be parsed, or did not complete a message in time.
+    ProtocolViolation,
+    /// It sent a message that this listener does not support.
+    NotSupported,
+    /// The proxy shuts down or is out of service, and the connection was between requests.
+    Draining,
+    /// Its place was needed for another client.
+    Evicted,
+    /// Many clients keep idle connections, and this one was idle for long enough.
+    KeptIdle,
+    /// There was no place for it.
+    TooManyConnections,
+    /// The client reads its replies too slowly.
+    SlowReader,
+}
+
+impl ClientCloseReason {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ClientCloseReason::ClosedByClient => "closed_by_client",
+            ClientCloseReason::CancelRequest => "cancel_request",
+            ClientCloseReason::ProtocolViolation => "protocol_violation",
+            ClientCloseReason::NotSupported => "not_supported",
+            ClientCloseReason::Draining => "draining",
+            ClientCloseReason::Evicted => "evicted",
+            ClientCloseReason::KeptIdle => "kept_idle",
+            ClientCloseReason::TooManyConnections => "too_many_connections",
+            ClientCloseReason::SlowReader => "slow_reader",
+        }
+    }
+}
--- a/src/core/connections.rs
+++ b/src/core/connections.rs
@@ -1,8 +1,8 @@
 //! The connections to members: endpoint updates, checkout and check-in, and verification of idle ones.
 
-use super::pool::{CheckIn, Checkout};
+use super::pool::{CheckIn, Checkout, EvictedConnection};
 use super::timers::TimerEvent;
-use super::{ConnectionId, Core, Effect, JobResult, ListedMember};
+use super::{CloseReason, ConnectionId, Core, Effect, JobResult, ListedMember, Record};
 use crate::{EndpointId, EndpointState, Event, Idempotency, Micros, Outcome};
 use std::collections::BTreeSet;
 
@@ -29,7 +29,7 @@
     /// Applies an update of the endpoint list, and cancels unsent attempts to members out of service.
     pub(super) fn apply_endpoint_update(&mut self, now: Micros, full: bool, members: Vec<ListedMember>) {
         let to_close = self.pool.apply_endpoint_update(now, full, &members);
-        self.close_connections(to_close);
+        self.close_connections(to_close, CloseReason::EndpointListChange);
         let mut in_service = BTreeSet::new();
         let mut out_of_service = BTreeSet::new();
         for ListedMember { entry, .. } in &members {
@@ -54,7 +54,11 @@
                 Some(JobConnection { id: connection, idle_since: Some(idle_since) })
             }
             Checkout::New { connection, address, evicted } => {
-                self.close_connections(evicted);
+                if let Some(EvictedConnection { connection, endpoint }) = evicted {
+                    let reason = CloseReason::Capacity;
+                    self.record(Record::ConnectionClosed { connection, endpoint, reason });
+                    self.effects.push(Effect::CloseConnection(connection));
+                }
                 self.effects.push(Effect::OpenConnection { connection, address });
                 Some(JobConnection { id: connection, idle_since: None })
             }
@@ -64,14 +68,16 @@
     /// Checks in a connection.
     pub(super) fn check_in(&mut self, now: Micros, connection: ConnectionId) {
         if self.pool.check_in(connection, now) == CheckIn::Close {
-            self.effects.push(Effect::CloseConnection(connection));
+            self.close_connections([connection], CloseReason::Unusable);
         }
     }
 
     /// A connection has been closed. Guards against one that ends without reporting its job: the progress of
     /// that job is unknown.
     pub(super) fn connection_closed(&mut self, now: Micros, connection: ConnectionId) {
-        self.pool.remove(connection);
+        if let Some((endpoint, reason)) = self.pool.remove(connection) {
+            self.record(Record::ConnectionClosed { connection, endpoint, reason });
+        }
         let orphaned = self.jobs.iter().filter(|(_, job)| job.connection == connection);
         let orphaned: Vec<_> = orphaned.map(|(id, _)| *id).collect();
         for job in orphaned {
@@ -84,7 +90,7 @@
         self.timers.set(now + EVICTION_INTERVAL, TimerEvent::EvictIdle);
         let keep_for = self.settings.idle_timeout * KEPT_PERCENT_OF_IDLE_TIMEOUT / 100;
         let to_close = self.pool.evict_idle_since(now.saturating_sub(keep_for));
-        self.close_connections(to_close);
+        self.close_connections(to_close, CloseReason::Idle);
     }
 
     /// A connection was dropped by the network while it was idle: the others may have been as well.
@@ -106,7 +112,15 @@
         now < self.revalidate_until || (idempotency == Idempotency::AtMostOnce && long_idle)
     }
 
-    fn close_connections(&mut self, connections: impl IntoIterator<Item = ConnectionId>) {
-        self.effects.extend(connections.into_iter().map(Effect::CloseConnection));
+    /// Closes connections; each is reported once it is closed.
+    fn close_connections(
+        &mut self,
+        connections: impl IntoIterator<Item = ConnectionId>,
+        reason: CloseReason,
+    ) {
+        for connection in connections {
+            self.pool.mark_closing(connection, reason);
+            self.effects.push(Effect::CloseConnection(connection));
+        }
     }
 }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -1,6 +1,7 @@
 //! The counters that operators see.
 
-use super::FinalAnswer;
+use super::{FinalAnswer, RecordKind};
+use std::collections::BTreeMap;
 
 /// The final answers given to requests of one class.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,6 +49,10 @@
     pub pending: usize,
     /// The members.
     pub members: MemberCounts,
+    /// The records of each kind, by their reason.
+    pub records: BTreeMap<(RecordKind, &'static str), u64>,
+    /// The revision of the endpoint list in use.
+    pub list_revision: u64,
 }
 
 impl Counters {
@@ -55,4 +60,9 @@
     pub(super) fn new(classes: usize) -> Self {
         Counters { answers: vec![AnswerCounts::default(); classes], ..Counters::default() }
     }
+
+    /// Counts a record.
+    pub fn count(&mut self, key: (RecordKind, &'static str)) {
+        *self.records.entry(key).or_default() += 1;
+    }
 }
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -2,7 +2,7 @@
 
 use super::connections::JobConnection;
 use super::timers::TimerEvent;
-use super::{ConnectionId, Core, Effect, JobId, JobResult, JobSpec};
+use super::{ConnectionId, Core, Effect, JobId, JobResult, JobSpec, Record};
 use crate::{AttemptResult, EndpointId, Event, LoadReport, Micros, Outcome, RequestId, ResponseMetadata};
 
 /// A health check without an answer by then has failed.
@@ -210,6 +210,20 @@
             self.serve_request(request, answer);
         }
         let elapsed = now.saturating_sub(job.started_at);
+        // An attempt that was withdrawn since its request has ended is no failure.
+        let was_withdrawn = matches!(outcome, Outcome::NeverSent | Outcome::Cancelled);
+        let is_over = was_withdrawn && !self.requests.contains_key(&request);
+        if outcome != Outcome::Ok && !is_over {
+            let (endpoint, list_revision) = (job.endpoint, self.list_revision);
+            self.record(Record::AttemptFailed {
+                request,
+                attempt,
+                endpoint,
+                outcome,
+                elapsed,
+                list_revision,
+            });
+        }
         if outcome == Outcome::Reset && job.reused && elapsed < STALE_RESET_LIMIT {
             self.distrust_idle_connections(now);
         }
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -5,8 +5,8 @@
 
 pub use crate::endpoint_list::ListedMember;
 
-use super::ConnectionId;
-use crate::{LoadReport, Micros, Outcome, Request, RequestId, ResponseMetadata};
+use super::{ConnectionId, Record};
+use crate::{EndpointId, LoadReport, Micros, Outcome, Request, RequestId, ResponseMetadata};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -70,6 +70,8 @@
     ClientDisconnected(RequestId),
     /// An update of the endpoint list.
     EndpointUpdate {
+        /// The revision of the list with this update.
+        revision: u64,
         /// The members are the complete list: a member that is missing from it has been removed.
         full: bool,
         /// The members that the update names.
@@ -172,6 +174,15 @@
         /// The answer.
         answer: FinalAnswer<A>,
     },
+    /// Log that a member is avoided from now on.
+    EndpointEjected {
+        /// The member.
+        endpoint: EndpointId,
+        /// Its failures, in words.
+        cause: String,
+    },
     /// Write a line to the log.
     Log(String),
+    /// Report this to the log; it is counted already.
+    Record(Record),
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod messages;
 mod pool;
+mod records;
 mod requests;
 mod routing;
 mod shutdown;
@@ -19,6 +20,7 @@
 pub use counters::Counters;
 pub use messages::{Effect, FinalAnswer, Input, JobId, JobResult, JobSpec, ListedMember, NewRequest};
 pub use pool::ConnectionId;
+pub use records::{CloseReason, Record, RecordKind};
 
 use crate::{EndpointCounts, Event, Micros, RequestId, Router, Settings};
 use connections::EVICTION_INTERVAL;
@@ -43,6 +45,8 @@
     /// Until then, every idle connection is verified before it is reused.
     revalidate_until: Micros,
     counters: Counters,
+    /// The revision of the endpoint list in use.
+    list_revision: u64,
     /// The effects that the current step requests.
     effects: Vec<Effect<W, A>>,
 }
@@ -63,6 +67,7 @@
             timers,
             shutdown_deadline: None,
             revalidate_until: 0,
+            list_revision: 0,
             effects: Vec::new(),
         }
     }
@@ -83,6 +88,7 @@
         Counters {
             pending: self.requests.len(),
             members: MemberCounts { listed, unavailable: avoided },
+            list_revision: self.list_revision,
             ..self.counters.clone()
         }
     }
@@ -92,7 +98,10 @@
         match input {
             Input::RequestReceived(request) => self.admit_request(now, request),
             Input::ClientDisconnected(request) => self.abandon_request(now, request),
-            Input::EndpointUpdate { full, members } => self.apply_endpoint_update(now, full, members),
+            Input::EndpointUpdate { revision, full, members } => {
+                self.list_revision = revision;
+                self.apply_endpoint_update(now, full, members);
+            }
             Input::JobFinished { connection, job, result, reusable } => {
                 if reusable {
                     self.check_in(now, connection);
@@ -112,6 +121,12 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Reports something to the log, and counts it.
+    fn record(&mut self, record: Record) {
+        self.counters.count(record.key());
+        self.effects.push(Effect::Record(record));
+    }
+
     /// Fires the timers that are due, up to one that requests an effect: the reply to the effect comes before
     /// the next timer. Guards against a process that was held up: the deadline of a request must not count an
     /// attempt whose cancellation has not been carried out yet.
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -1,7 +1,7 @@
 //! The accounting of the connection pool: the connections to each member, and which of them are idle.
 //! The sockets themselves belong to the event loop.
 
-use super::ListedMember;
+use super::{CloseReason, ListedMember};
 use crate::{EndpointId, EndpointState, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -18,6 +18,8 @@
     idle_since: Option<Micros>,
     /// It was closed in the middle of a job: it is not reused, whatever result the job still reports.
     broken: bool,
+    /// Why it is being closed, if it is.
+    closing: Option<CloseReason>,
 }
 
 /// The connections to one member.
@@ -40,6 +42,14 @@
     gone: BTreeSet<(Micros, EndpointId)>,
 }
 
+/// An idle connection that was removed to free capacity.
+pub struct EvictedConnection {
+    /// Its id.
+    pub connection: ConnectionId,
+    /// Its member.
+    pub endpoint: EndpointId,
+}
+
 /// The connection that a job is given.
 pub enum Checkout {
     /// The most recently used idle connection.
@@ -56,7 +66,7 @@
         /// The address of the member.
         address: SocketAddr,
         /// An idle connection to another member, to be closed first to free capacity.
-        evicted: Option<ConnectionId>,
+        evicted: Option<EvictedConnection>,
     },
     /// The member's address is unknown, or all connections are in use and the pool is full.
     Unavailable,
@@ -156,19 +166,19 @@
             }
         }
         self.last_id += 1;
-        let connection = Connection { endpoint, address, idle_since: None, broken: false };
+        let connection = Connection { endpoint, address, idle_since: None, broken: false, closing: None };
         self.connections.insert(self.last_id, connection);
         Checkout::New { connection: self.last_id, address, evicted }
     }
 
-    fn evict_longest_idle(&mut self) -> Option<ConnectionId> {
+    fn evict_longest_idle(&mut self) -> Option<EvictedConnection> {
         let idle = self.connections.iter().filter_map(|(id, c)| Some((c.idle_since?, *id, c.endpoint)));
         let (_, oldest, endpoint) = idle.min()?;
         if let Some(member) = self.members.get_mut(&endpoint) {
             member.remove_idle(oldest);
         }
         self.connections.remove(&oldest);
-        Some(oldest)
+        Some(EvictedConnection { connection: oldest, endpoint })
     }
 
     /// Checks in a connection whose job has ended. Guards against reuse of a connection whose member has
@@ -200,6 +210,13 @@
         }
     }
 
+    /// A connection is being closed for this reason.
+    pub fn mark_closing(&mut self, connection: ConnectionId, reason: CloseReason) {
+        if let Some(connection) = self.connections.get_mut(&connection) {
+            connection.closing = Some(reason);
+        }
+    }
+
     /// Returns the connections to close because they have been idle since `limit` or longer.
     pub fn evict_idle_since(&mut self, limit: Micros) -> Vec<ConnectionId> {
         let connections = &self.connections;
@@ -214,13 +231,14 @@
         to_close
     }
 
-    /// A connection has been closed.
-    pub fn remove(&mut self, connection: ConnectionId) {
-        if let Some(removed) = self.connections.remove(&connection)
-            && let Some(member) = self.members.get_mut(&removed.endpoint)
-        {
+    /// A connection has been closed. Returns its member and why it was closed, unless it is unknown.
+    pub fn remove(&mut self, connection: ConnectionId) -> Option<(EndpointId, CloseReason)> {
+        let removed = self.connections.remove(&connection)?;
+        if let Some(member) = self.members.get_mut(&removed.endpoint) {
             member.remove_idle(connection);
         }
+        let by_job = if removed.broken { CloseReason::JobCancelled } else { CloseReason::Broken };
+        Some((removed.endpoint, removed.closing.unwrap_or(by_job)))
     }
 }
 
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -1,8 +1,8 @@
 //! Pending requests: admission, deadlines, and the one final answer that each of them gets.
 
 use super::timers::TimerEvent;
-use super::{Core, Effect, FinalAnswer, NewRequest};
-use crate::{Event, Idempotency, Micros, RequestId, hold_up_margin};
+use super::{Core, Effect, FinalAnswer, NewRequest, Record};
+use crate::{Event, GiveUpReason, Idempotency, Micros, RequestId, hold_up_margin};
 use std::sync::Arc;
 
 /// Answers are given this long before the client's deadline, so that they arrive in time.
@@ -57,18 +57,21 @@
         let NewRequest { mut request, work } = new_request;
         let id = request.id;
         let Some(class) = self.settings.classes.get(request.class) else {
-            return self.answer(id, request.class, FinalAnswer::Failed { maybe_executed: false });
+            let answer = FinalAnswer::Failed { maybe_executed: false };
+            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::UnknownClass);
         };
         let idempotency = class.idempotency;
         self.counters.received += 1;
         if self.requests.len() >= self.settings.max_pending {
-            return self.answer(id, request.class, FinalAnswer::Rejected { retry_after: 0 });
+            let answer = FinalAnswer::Rejected { retry_after: 0 };
+            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::TooManyPending);
         }
         let client_limit = request.remaining.saturating_sub(ANSWER_MARGIN);
         request.remaining = client_limit.min(self.time_until_shutdown(now));
         // A pipelined request may have waited for earlier commands until its deadline had passed.
         if request.remaining == 0 {
-            return self.answer(id, request.class, FinalAnswer::Rejected { retry_after: 0 });
+            let answer = FinalAnswer::Rejected { retry_after: 0 };
+            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::NoTimeLeft);
         }
         request.remaining = request.remaining.max(MIN_REMAINING);
         let deadline = now + request.remaining;
@@ -107,8 +110,7 @@
         } else {
             FinalAnswer::Failed { maybe_executed }
         };
-        self.effects.push(Effect::Log(format!("request {id} was still pending at its deadline")));
-        self.answer(id, pending.class, answer);
+        self.answer_unserved(id, pending.class, pending.attempts, answer, GiveUpReason::Deadline);
         self.release_request(now, id);
     }
 
@@ -126,20 +128,37 @@
     }
 
     /// Rejects a request on behalf of the router.
-    pub(super) fn reject_request(&mut self, id: RequestId, retry_after: Micros) {
+    pub(super) fn reject_request(&mut self, id: RequestId, retry_after: Micros, reason: GiveUpReason) {
         if let Some(pending) = self.requests.remove(&id) {
-            self.answer(id, pending.class, FinalAnswer::Rejected { retry_after });
+            let answer = FinalAnswer::Rejected { retry_after };
+            self.answer_unserved(id, pending.class, pending.attempts, answer, reason);
         }
     }
 
     /// Fails a request on behalf of the router.
-    pub(super) fn fail_request(&mut self, id: RequestId) {
+    pub(super) fn fail_request(&mut self, id: RequestId, reason: GiveUpReason) {
         if let Some(pending) = self.requests.remove(&id) {
             let maybe_executed = pending.first_maybe_executed_at.is_some();
-            self.answer(id, pending.class, FinalAnswer::Failed { maybe_executed });
+            let answer = FinalAnswer::Failed { maybe_executed };
+            self.answer_unserved(id, pending.class, pending.attempts, answer, reason);
         }
     }
 
+    /// Gives a final answer to a request that is not served, and reports why.
+    fn answer_unserved(
+        &mut self,
+        request: RequestId,
+        class: usize,
+        attempts: u32,
+        answer: FinalAnswer<A>,
+        reason: GiveUpReason,
+    ) {
+        let rejected = matches!(answer, FinalAnswer::Rejected { .. });
+        let list_revision = self.list_revision;
+        self.record(Record::NotServed { request, class, attempts, reason, rejected, list_revision });
+        self.answer(request, class, answer);
+    }
+
     /// The one place where a final answer is given and counted. An unknown class has no counters.
     fn answer(&mut self, request: RequestId, class: usize, answer: FinalAnswer<A>) {
         if let Some(counts) = self.counters.answers.get_mut(class) {
--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -28,8 +28,10 @@
                 return self.start_attempt(now, order);
             }
             Action::Probe(endpoint) => return self.start_probe(now, endpoint),
-            Action::Reject { request, retry_after } => self.reject_request(request, retry_after),
-            Action::Fail(request) => self.fail_request(request),
+            Action::Reject { request, retry_after, reason } => {
+                self.reject_request(request, retry_after, reason)
+            }
+            Action::Fail { request, reason } => self.fail_request(request, reason),
             Action::Cancel { request, attempt } => {
                 let purpose = JobPurpose::Attempt { request, attempt };
                 let found = self.jobs.iter().find(|(_, job)| job.purpose == purpose);
@@ -40,6 +42,9 @@
             Action::SetTimer { token, after } => self.timers.set(now + after, TimerEvent::Router(token)),
             // The endpoint list is always watched.
             Action::Subscribe => {}
+            Action::EndpointEjected { endpoint, cause } => {
+                self.effects.push(Effect::EndpointEjected { endpoint, cause });
+            }
             Action::Log(text) => self.effects.push(Effect::Log(text)),
         }
         None
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -65,7 +65,7 @@
     };
     let mut core = Core::new(settings, 7, START, MAX_CONNECTIONS);
     let members = vec![member(1, EndpointState::Ready), member(2, EndpointState::Ready)];
-    core.step(START, Input::EndpointUpdate { full: true, members });
+    core.step(START, Input::EndpointUpdate { revision: 1, full: true, members });
     core
 }
 
@@ -150,7 +150,7 @@
         } else {
             vec![member(1, EndpointState::Draining)]
         };
-        let effects = core.step(START + 3 * MS, Input::EndpointUpdate { full, members });
+        let effects = core.step(START + 3 * MS, Input::EndpointUpdate { revision: 1, full, members });
         assert_eq!(unsent_cancellations(&effects), [second.job]);
         let effects = core.step(START + 3 * MS, second.cancelled_unsent());
         let answered = effects.iter().any(|effect| matches!(effect, Effect::Answer { .. }));
@@ -229,7 +229,7 @@
     let attempt = start_request(&mut core, START, 1, AT_MOST_ONCE_WRITE);
     let new_address = SocketAddr::from(([127, 0, 0, 1], 99));
     let moved = ListedMember { address: new_address, ..member(1, EndpointState::Ready) };
-    core.step(START + MS, Input::EndpointUpdate { full: false, members: vec![moved] });
+    core.step(START + MS, Input::EndpointUpdate { revision: 1, full: false, members: vec![moved] });
     let effects = core.step(START + 2 * MS, attempt.finished(Outcome::Ok, Role::Primary, START));
     assert!(closes(&effects, attempt.connection));
     core.step(START + 2 * MS, Input::ConnectionClosed(attempt.connection));
--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// The same entries as a complete list.
+    pub fn into_complete(mut self) -> EndpointList {
+        self.complete = true;
+        self
+    }
+
     /// One update that has the effect of this one and then another.
     pub fn followed_by(mut self, update: EndpointList) -> EndpointList {
         if self.complete || update.complete {
@@ -123,6 +129,16 @@
 }
 
 impl EndpointRecord {
+    /// The name of the endpoint.
+    pub fn uid(&self) -> &str {
+        &self.uid
+    }
+
+    /// The id of the endpoint.
+    pub fn id(&self) -> EndpointId {
+        endpoint_id(&self.uid)
+    }
+
     fn member(&self) -> Option<ListedMember> {
         let listed = self.listed_state();
         let address = match self.address.parse() {
@@ -131,7 +147,7 @@
             Err(_) => return None,
         };
         let entry = EndpointEntry {
-            endpoint: endpoint_id(&self.uid),
+            endpoint: self.id(),
             group: self.group,
             zone: 0,
             state: listed,
@@ -141,7 +157,8 @@
         Some(ListedMember { entry, address })
     }
 
-    fn listed_state(&self) -> EndpointState {
+    /// The state that the entry gives its endpoint.
+    pub fn listed_state(&self) -> EndpointState {
         match self.state.as_str() {
             STATE_SERVING => EndpointState::Ready,
             STATE_DRAINING => EndpointState::Draining,
--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -2,7 +2,7 @@
 
 use super::connection::Connection;
 use super::{FrontEffect, Protocol, RequestRegistry, ServiceState};
-use crate::client::{ClientEvent, ClientId};
+use crate::client::{ClientCloseReason, ClientEvent, ClientId};
 use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
 use crate::pg::{self, StartupPacket};
@@ -160,7 +160,7 @@
             }
             // A cancel request is valid even if its connection was rejected for lack of capacity.
             ClientEvent::Opening(StartupPacket::CancelRequest { process, secret }) => {
-                self.client_disconnected(registry, id, &mut effects);
+                self.client_disconnected(registry, id, ClientCloseReason::CancelRequest, &mut effects);
                 self.cancel(registry, now, process, secret, &mut effects);
             }
             event if self.connections.contains_key(&id) => {
@@ -201,7 +201,7 @@
                 self.close_with_error(registry, id, pg::sqlstate::PROTOCOL_VIOLATION, &text, effects);
             }
             ClientEvent::Terminate | ClientEvent::Disconnected => {
-                self.client_disconnected(registry, id, effects);
+                self.client_disconnected(registry, id, ClientCloseReason::ClosedByClient, effects);
             }
         }
     }
@@ -288,6 +288,7 @@
         &mut self,
         registry: &mut RequestRegistry,
         id: ClientId,
+        reason: ClientCloseReason,
         effects: &mut Vec<FrontEffect>,
     ) {
         let Some(connection) = self.connections.remove(&id) else { return };
@@ -296,7 +297,7 @@
             registry.close(request);
             effects.push(FrontEffect::AbandonRequest(request));
         }
-        effects.push(FrontEffect::Close(id));
+        effects.push(FrontEffect::Close(id, reason));
     }
 
     /// Reports an error that ends the connection.
@@ -311,7 +312,11 @@
         let mut bytes = Vec::new();
         pg::put_error_response(&mut bytes, "FATAL", sqlstate, text, None);
         effects.push(FrontEffect::Write(id, bytes));
-        self.client_disconnected(registry, id, effects);
+        let reason = match sqlstate {
+            pg::sqlstate::PROTOCOL_VIOLATION => ClientCloseReason::ProtocolViolation,
+            _ => ClientCloseReason::NotSupported,
+        };
+        self.client_disconnected(registry, id, reason, effects);
     }
 
     /// Cancels the first unanswered command: in PostgreSQL, the one that is running.
--- a/src/front/effect.rs
+++ b/src/front/effect.rs
@@ -1,7 +1,7 @@
 //! Effects that the fronts request from the host.
 
 use crate::RequestId;
-use crate::client::ClientId;
+use crate::client::{ClientCloseReason, ClientId};
 use crate::core::NewRequest;
 use crate::exchange::MemberRequest;
 use crate::store::Change;
@@ -11,7 +11,7 @@
     /// Write to a client.
     Write(ClientId, Vec<u8>),
     /// Close a client's connection once everything has been written.
-    Close(ClientId),
+    Close(ClientId, ClientCloseReason),
     /// Close it unless part of another command has arrived; the host notifies the connection manager with
     /// [`ConnectionManager::forget`](super::ConnectionManager::forget) if it was closed.
     CloseIfIdle(ClientId),
--- a/src/front/request_registry.rs
+++ b/src/front/request_registry.rs
@@ -43,6 +43,11 @@
         self.owners.get(&request).map(|owner| owner.client)
     }
 
+    /// The id that its client gave an open request; empty if it gave none.
+    pub fn external_id(&self, request: RequestId) -> Option<&[u8]> {
+        self.owners.get(&request).map(|owner| owner.external_id.as_slice())
+    }
+
     /// Closes a request and returns the client that it belongs to; `None` if it is not open.
     pub fn close(&mut self, request: RequestId) -> Option<ClientId> {
         let Owner { client, external_id } = self.owners.remove(&request)?;
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -21,6 +21,17 @@
     Removed,
 }
 
+impl EndpointState {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndpointState::Ready => "ready",
+            EndpointState::Draining => "draining",
+            EndpointState::Removed => "removed",
+        }
+    }
+}
+
 /// One entry of the endpoint list.
 #[derive(Clone, Debug)]
 pub struct EndpointEntry {
--- a/src/model/event.rs
+++ b/src/model/event.rs
@@ -35,6 +35,49 @@
     TimerFired(u32),
 }
 
+/// Why a request gets a final answer without being served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GiveUpReason {
+    /// Its class is not known.
+    UnknownClass,
+    /// Too little time is left for an attempt.
+    NoTimeLeft,
+    /// All attempts that the settings allow have been made.
+    AttemptsUsed,
+    /// It may have run, and its class does not allow a repeat.
+    MayHaveRun,
+    /// No endpoint of its group may be used.
+    NoUsableEndpoint,
+    /// No endpoint admits it now: load is shed.
+    Shed,
+    /// It was held until shortly before its deadline, as nothing could take it.
+    HoldEnded,
+    /// The retry budget does not cover another attempt.
+    RetryBudget,
+    /// Too many requests are pending.
+    TooManyPending,
+    /// Its deadline passed without an answer of the router.
+    Deadline,
+}
+
+impl GiveUpReason {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            GiveUpReason::UnknownClass => "unknown_class",
+            GiveUpReason::NoTimeLeft => "no_time_left",
+            GiveUpReason::AttemptsUsed => "attempts_used",
+            GiveUpReason::MayHaveRun => "may_have_run",
+            GiveUpReason::NoUsableEndpoint => "no_usable_endpoint",
+            GiveUpReason::Shed => "shed",
+            GiveUpReason::HoldEnded => "hold_ended",
+            GiveUpReason::RetryBudget => "retry_budget",
+            GiveUpReason::TooManyPending => "too_many_pending",
+            GiveUpReason::Deadline => "deadline",
+        }
+    }
+}
+
 /// An action for the host.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -55,9 +98,16 @@
         request: RequestId,
         /// The retry delay advised to the client; 0 for no advice.
         retry_after: Micros,
+        /// Why it is not served.
+        reason: GiveUpReason,
     },
     /// Final answer: failed, the request may have been executed.
-    Fail(RequestId),
+    Fail {
+        /// The request.
+        request: RequestId,
+        /// Why it is not served.
+        reason: GiveUpReason,
+    },
     /// Stop waiting for an attempt.
     Cancel {
         /// The request.
@@ -76,6 +126,13 @@
     },
     /// Subscribe to the endpoint list, where it is sent only on request.
     Subscribe,
+    /// For the operator's log: the endpoint is avoided from now on.
+    EndpointEjected {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Its failures, in words.
+        cause: String,
+    },
     /// A line for the operator's log.
     Log(String),
 }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -12,7 +12,7 @@
 pub use endpoint::{
     EndpointCounts, EndpointEntry, EndpointId, EndpointState, GroupId, LoadReport, ResponseMetadata, Role,
 };
-pub use event::{Action, Event};
+pub use event::{Action, Event, GiveUpReason};
 pub use hold_up::hold_up_margin;
 pub use request::{AttemptResult, Class, Idempotency, Outcome, Request, RequestId, Requirement};
 pub use settings::{Settings, StaleReadBehavior};
--- a/src/model/request.rs
+++ b/src/model/request.rs
@@ -122,6 +122,22 @@
 }
 
 impl Outcome {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Ok => "ok",
+            Outcome::Error => "error",
+            Outcome::Full => "rejected_by_member",
+            Outcome::TimedOut => "timed_out",
+            Outcome::ConnectFailed => "connect_failed",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::NeverSent => "never_sent",
+            Outcome::LocalError => "local_error",
+            Outcome::NotServable => "not_servable",
+        }
+    }
+
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
         use Outcome::{ConnectFailed, Full, LocalError, NeverSent, NotServable};
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -175,6 +175,10 @@
     let _ = writeln!(text, "pending={}", tally.pending);
     let _ = writeln!(text, "members={members}");
     let _ = writeln!(text, "members_unavailable={unavailable}");
+    let _ = writeln!(text, "endpoint_list.revision={}", tally.list_revision);
+    for ((kind, reason), count) in &tally.records {
+        let _ = writeln!(text, "{}.{reason}={count}", kind.name());
+    }
     text
 }
 
--- a/src/net/discovery/call_timeout.rs
+++ b/src/net/discovery/call_timeout.rs
@@ -51,7 +51,7 @@
 
 /// How a call ended, as far as the time limit of the next one depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallEnd {
+pub enum CallResult {
     /// Discovery sent something.
     Received,
     /// The call hung.
@@ -83,11 +83,11 @@
     }
 
     /// Adapts the time limit to the end of a call.
-    pub fn record(&mut self, end: CallEnd) {
+    pub fn record(&mut self, end: CallResult) {
         self.current = match end {
-            CallEnd::Received => self.limits.initial,
-            CallEnd::Hung => (self.current * 2).min(self.limits.max),
-            CallEnd::Failed => self.current,
+            CallResult::Received => self.limits.initial,
+            CallResult::Hung => (self.current * 2).min(self.limits.max),
+            CallResult::Failed => self.current,
         };
     }
 }
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -41,6 +41,25 @@
 }
 
 impl DiscoveryError {
+    /// The reason in logs and metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            error if error.is_timeout() => "silent",
+            DiscoveryError::Io(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
+            DiscoveryError::Io(_) => "connection_lost",
+            DiscoveryError::TimedOut => "silent",
+            DiscoveryError::UnexpectedEnd => "cut",
+            DiscoveryError::Status(_) => "status",
+            DiscoveryError::Head(_)
+            | DiscoveryError::HeadTooLong
+            | DiscoveryError::ContentLength
+            | DiscoveryError::ChunkSize
+            | DiscoveryError::NotAnObject
+            | DiscoveryError::ListTooLong
+            | DiscoveryError::List(_) => "unreadable",
+        }
+    }
+
     /// Whether the call ended because a time limit passed.
     pub fn is_timeout(&self) -> bool {
         match self {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -12,7 +12,7 @@
 use crate::threads::spawn;
 use backoff::Backoff;
 pub use call_timeout::DiscoveryKind;
-use call_timeout::{CallEnd, CallTimeout};
+use call_timeout::{CallResult, CallTimeout};
 use error::DiscoveryError;
 use http_response::ResponseBody;
 use object_stream::{ObjectStream, StreamItem};
@@ -33,12 +33,38 @@
 /// The number of a watch; a newer watch has a higher one.
 pub type WatchId = u64;
 
-/// An update of the endpoint list.
+/// Something that a watch reports.
 pub struct WatchEvent {
-    /// The watch that received it.
+    /// The watch.
     pub watch: WatchId,
+    /// What it reports.
+    pub report: WatchReport,
+}
+
+/// The report of a watch.
+pub enum WatchReport {
     /// The complete list, or the entries that have changed.
-    pub endpoints: EndpointList,
+    Update(EndpointList),
+    /// A call ended.
+    CallEnded(CallEnd),
+}
+
+/// A call that ended, for the log.
+pub struct CallEnd {
+    /// Its number among the calls of its watch.
+    pub call: u64,
+    /// What it asked for.
+    pub path: String,
+    /// Why it ended, in one word.
+    pub reason: &'static str,
+    /// Why it ended, in words.
+    pub detail: String,
+    /// The time from its begin.
+    pub lasted: Duration,
+    /// Updates that it delivered.
+    pub updates: u64,
+    /// The revision of the list at its end, if any is known.
+    pub revision: Option<u64>,
 }
 
 /// The receiver of watch events has been dropped.
@@ -73,6 +99,8 @@
             address,
             revision,
             received: false,
+            calls: 0,
+            updates: 0,
             call_timeout: CallTimeout::new(kind),
             events,
             connection: connection.clone(),
@@ -143,6 +171,10 @@
     revision: Option<u64>,
     /// Discovery has sent something since the last delay.
     received: bool,
+    /// Calls made so far.
+    calls: u64,
+    /// Updates that the current call has delivered.
+    updates: u64,
     /// The time limit of a call until its first complete list has arrived.
     call_timeout: CallTimeout,
     events: EventSink,
@@ -152,11 +184,7 @@
 impl Watcher {
     fn run(mut self, mut backoff: Backoff) {
         while !self.connection.is_canceled() {
-            if let Err(error) = self.list_and_watch()
-                && !self.connection.is_canceled()
-            {
-                tracing::warn!(%error, "discovery watch ended");
-            }
+            let _ = self.list_and_watch();
             let received = std::mem::take(&mut self.received);
             std::thread::sleep(backoff.next_delay(received));
         }
@@ -164,10 +192,36 @@
 
     fn list_and_watch(&mut self) -> Result<(), DiscoveryError> {
         if self.revision.is_none() {
-            self.call(Call::List)?;
+            self.logged_call(Call::List)?;
         }
         let revision = self.revision.unwrap_or(0);
-        self.call(Call::Watch { revision })
+        self.logged_call(Call::Watch { revision })
+    }
+
+    /// Makes a call, and reports its end.
+    fn logged_call(&mut self, call: Call) -> Result<(), DiscoveryError> {
+        let begun = Instant::now();
+        self.calls += 1;
+        self.updates = 0;
+        let result = self.call(call);
+        let (reason, detail) = match &result {
+            Ok(()) => ("complete", String::new()),
+            Err(error) => (error.reason(), error.to_string()),
+        };
+        if call.is_watch() || result.is_err() {
+            let end = CallEnd {
+                call: self.calls,
+                path: call.path(),
+                reason,
+                detail,
+                lasted: begun.elapsed(),
+                updates: self.updates,
+                revision: self.revision,
+            };
+            let report = WatchReport::CallEnded(end);
+            let _ = (self.events)(WatchEvent { watch: self.id, report });
+        }
+        result
     }
 
     /// Makes a call, and passes on the updates that it returns.
@@ -189,11 +243,11 @@
         result
     }
 
-    fn end_of(&self, result: &Result<(), DiscoveryError>) -> CallEnd {
+    fn end_of(&self, result: &Result<(), DiscoveryError>) -> CallResult {
         match result {
-            _ if self.received => CallEnd::Received,
-            Err(error) if error.is_timeout() => CallEnd::Hung,
-            _ => CallEnd::Failed,
+            _ if self.received => CallResult::Received,
+            Err(error) if error.is_timeout() => CallResult::Hung,
+            _ => CallResult::Failed,
         }
     }
 
@@ -244,7 +298,8 @@
         let StreamItem::Object(object) = item else { return Ok(ControlFlow::Continue(())) };
         let endpoints: EndpointList = serde_json::from_slice(&object)?;
         self.revision = Some(endpoints.revision);
-        match (self.events)(WatchEvent { watch: self.id, endpoints }) {
+        self.updates += 1;
+        match (self.events)(WatchEvent { watch: self.id, report: WatchReport::Update(endpoints) }) {
             Ok(()) => Ok(ControlFlow::Continue(())),
             Err(ReceiverClosed) => Ok(ControlFlow::Break(())),
         }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -70,7 +70,7 @@
 
 #[test]
 fn the_time_limit_of_a_call_grows_after_one_that_hung_and_is_reset_only_by_something_received() {
-    let ends = [CallEnd::Hung, CallEnd::Failed, CallEnd::Hung, CallEnd::Received];
+    let ends = [CallResult::Hung, CallResult::Failed, CallResult::Hung, CallResult::Received];
     for (kind, expected) in [
         (DiscoveryKind::LocalAgent, [1000, 2000, 2000, 2000, 1000]),
         (DiscoveryKind::SharedService, [2500, 3500, 3500, 3500, 2500]),
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -66,9 +66,10 @@
             return;
         }
         if !endpoint.ejected {
-            let id = endpoint.id.0;
-            self.actions.push(Action::Log(format!("endpoint {id:012x} ejected: {failure}")));
+            let (endpoint, cause) = (endpoint.id, failure.to_string());
+            self.actions.push(Action::EndpointEjected { endpoint, cause });
         }
+        let endpoint = &mut self.topology[index];
         endpoint.ejected = true;
         endpoint.next_trial_at = self.now + TRIAL_INTERVAL + self.random.below(TRIAL_INTERVAL);
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -5,7 +5,7 @@
 use super::primary::SEARCH_INTERVAL;
 use crate::Router;
 use crate::model::{
-    Action, GroupId, Idempotency, Micros, Request, RequestId, Requirement, Role, hold_up_margin,
+    Action, GiveUpReason, GroupId, Idempotency, Micros, Request, RequestId, Requirement, Role, hold_up_margin,
 };
 use crate::state::{EndpointIndex, OutstandingAttempt, PendingRequest};
 
@@ -38,7 +38,8 @@
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(retries_per_second.max(1.0));
         self.trial_budget = (self.trial_budget + health::TRIAL_SHARE).min(1.0);
         let Some(class) = self.settings.classes.get(request.class) else {
-            return self.actions.push(Action::Fail(request.id));
+            let reason = GiveUpReason::UnknownClass;
+            return self.actions.push(Action::Fail { request: request.id, reason });
         };
         self.traffic.offered[request.class].record(self.now);
         let retry_value = class.late_value + (1.0 - class.late_value) * RETRY_VALUE;
@@ -62,8 +63,11 @@
     pub(super) fn advance(&mut self, id: RequestId) {
         let Some(pending) = self.requests.get(&id) else { return };
         let (class, useful_until) = (pending.request.class, pending.useful_until);
-        if self.now >= useful_until || !self.may_send(pending) {
-            return self.give_up(id);
+        if self.now >= useful_until {
+            return self.give_up(id, GiveUpReason::NoTimeLeft);
+        }
+        if let Err(reason) = self.check_may_send(pending) {
+            return self.give_up(id, reason);
         }
         let selection = match self.settings.classes[class].role() {
             Role::Primary => self.select_primary(id),
@@ -72,7 +76,7 @@
         match selection {
             Selection::Send { endpoint, exploratory } => self.send(id, endpoint, exploratory),
             Selection::Hold => self.hold(id),
-            Selection::Shed => self.give_up(id),
+            Selection::Shed => self.give_up(id, GiveUpReason::Shed),
         }
     }
 
@@ -83,7 +87,7 @@
         let reserve = (self.unloaded(class) as Micros / 2).max(2 * self.tick_interval());
         let last_hold = useful_until.saturating_sub(reserve);
         if self.now >= last_hold {
-            return self.give_up(id);
+            return self.give_up(id, GiveUpReason::HoldEnded);
         }
         let until = (self.now + SEARCH_INTERVAL / 2).min(last_hold);
         self.requests.get_mut(&id).expect("present above").held_until = Some(until);
@@ -104,8 +108,8 @@
         }
     }
 
-    /// Whether another attempt is allowed, and any endpoint may be used.
-    fn may_send(&self, pending: &PendingRequest) -> bool {
+    /// Whether another attempt is allowed, and any endpoint may be used; if not, why.
+    fn check_may_send(&self, pending: &PendingRequest) -> Result<(), GiveUpReason> {
         let members = self.topology.members(pending.request.group);
         let may_run_again = |first_run_at| match self.settings.classes[pending.request.class].idempotency {
             Idempotency::Idempotent => true,
@@ -115,9 +119,16 @@
             }
             Idempotency::AtMostOnce => false,
         };
-        pending.attempts < self.settings.max_attempts
-            && pending.first_run_at.is_none_or(may_run_again)
-            && members.iter().any(|member| self.is_usable(*member))
+        if pending.attempts >= self.settings.max_attempts {
+            return Err(GiveUpReason::AttemptsUsed);
+        }
+        if !pending.first_run_at.is_none_or(may_run_again) {
+            return Err(GiveUpReason::MayHaveRun);
+        }
+        if !members.iter().any(|member| self.is_usable(*member)) {
+            return Err(GiveUpReason::NoUsableEndpoint);
+        }
+        Ok(())
     }
 
     /// Sends a request to an endpoint.
@@ -176,14 +187,14 @@
     /// Retries a request whose attempt failed, if the retry budget covers the cost.
     pub(super) fn retry(&mut self, id: RequestId, cost: f64) {
         if self.retry_budget < cost {
-            return self.give_up(id);
+            return self.give_up(id, GiveUpReason::RetryBudget);
         }
         self.retry_budget -= cost;
         self.advance(id);
     }
 
     /// Gives the final answer of a request that is not served.
-    fn give_up(&mut self, id: RequestId) {
+    fn give_up(&mut self, id: RequestId, reason: GiveUpReason) {
         let Some(pending) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[pending.request.class];
         let has_not_run = pending.first_run_at.is_none() && pending.in_flight.is_none();
@@ -191,9 +202,9 @@
             let spread = class.latency_objective / 2;
             let wait = (spread + self.random.below(spread)).min(self.settings.max_retry_after);
             let retry_after = if self.settings.retry_after { wait } else { 0 };
-            self.actions.push(Action::Reject { request: id, retry_after });
+            self.actions.push(Action::Reject { request: id, retry_after, reason });
         } else {
-            self.actions.push(Action::Fail(id));
+            self.actions.push(Action::Fail { request: id, reason });
         }
         self.finish(id);
     }
--- a/src/server/clients.rs
+++ b/src/server/clients.rs
@@ -1,8 +1,8 @@
 //! Client connections: admits new ones, closes idle ones, and carries out the effects of the fronts.
 
-use super::{LOG_TARGET, Server};
+use super::Server;
 use crate::Micros;
-use crate::client::ClientId;
+use crate::client::{ClientCloseReason, ClientId};
 use crate::core::Input;
 use crate::front::FrontEffect;
 use crate::net::client::ClientHandle;
@@ -17,8 +17,8 @@
     /// Admits a new connection, or rejects it where there is no capacity.
     pub(super) fn accept_client(&mut self, now: Micros, id: ClientId, handle: ClientHandle) {
         if self.clients.len() >= self.max_clients && !self.evict_idle_client(now) {
-            tracing::debug!(target: LOG_TARGET, "client rejected: too many connections");
             reject_client(&handle);
+            self.count_client_close(now, id, ClientCloseReason::TooManyConnections);
             return;
         }
         let extended = handle.extended;
@@ -38,7 +38,7 @@
     /// clients that send requests.
     fn evict_idle_client(&mut self, now: Micros) -> bool {
         while let Some(id) = self.fronts.eviction_candidate(now) {
-            if self.close_if_idle(id) {
+            if self.close_if_idle(now, id, ClientCloseReason::Evicted) {
                 return true;
             }
             // Its next command is arriving: it is not idle, but another connection may be.
@@ -61,7 +61,7 @@
         while let Some((close_at, id)) = self.next_idle_close()
             && close_at <= now
         {
-            if !self.close_if_idle(id) {
+            if !self.close_if_idle(now, id, ClientCloseReason::KeptIdle) {
                 self.fronts.touch(now, id);
             }
         }
@@ -74,15 +74,24 @@
     }
 
     /// Closes a connection between requests; `false` if another request is arriving.
-    fn close_if_idle(&mut self, id: ClientId) -> bool {
+    fn close_if_idle(&mut self, now: Micros, id: ClientId, reason: ClientCloseReason) -> bool {
         let closed = self.clients.get(&id).is_some_and(ClientHandle::close_if_idle);
         if closed {
             self.clients.remove(&id);
             self.fronts.remove(id);
+            self.count_client_close(now, id, reason);
         }
         closed
     }
 
+    /// Counts a client's connection that was closed, and logs it unless the client itself closed it.
+    fn count_client_close(&mut self, now: Micros, id: ClientId, reason: ClientCloseReason) {
+        *self.client_closes.entry(reason).or_default() += 1;
+        if reason != ClientCloseReason::ClosedByClient {
+            self.event_log.client_closed(now, id, reason);
+        }
+    }
+
     /// Carries out the effects of a front, in order.
     pub(super) fn apply_front_effects(&mut self, now: Micros, effects: Vec<FrontEffect>) {
         for effect in effects {
@@ -97,11 +106,16 @@
                     && !client.write(bytes)
                 {
                     client.cut();
+                    self.count_client_close(now, id, ClientCloseReason::SlowReader);
+                }
+            }
+            FrontEffect::Close(id, reason) => {
+                if self.clients.remove(&id).is_some() {
+                    self.count_client_close(now, id, reason);
                 }
             }
-            FrontEffect::Close(id) => drop(self.clients.remove(&id)),
             FrontEffect::CloseIfIdle(id) => {
-                self.close_if_idle(id);
+                self.close_if_idle(now, id, ClientCloseReason::Draining);
             }
             FrontEffect::CommandAnswered(id) => {
                 if let Some(client) = self.clients.get(&id) {
--- a/src/server/endpoint_watch.rs
+++ b/src/server/endpoint_watch.rs
@@ -1,11 +1,14 @@
 //! Endpoint updates, and the switch to another discovery address when the configuration is reloaded.
 
+use super::event_log::ListSource;
 use super::{LOG_TARGET, Message, Messages, Server};
 use crate::Micros;
 use crate::config::{Config, ConfigError};
 use crate::core::Input;
 use crate::endpoint_list::EndpointList;
-use crate::net::discovery::{DiscoveryKind, EventSink, ReceiverClosed, Watch, WatchEvent, WatchId};
+use crate::net::discovery::{
+    CallEnd, DiscoveryKind, EventSink, ReceiverClosed, Watch, WatchEvent, WatchId, WatchReport,
+};
 use crate::store::Change;
 use std::net::SocketAddr;
 
@@ -75,22 +78,38 @@
 impl Server {
     /// Handles an endpoint update.
     pub(super) fn handle_watch_event(&mut self, now: Micros, event: WatchEvent) {
+        let list = match event.report {
+            WatchReport::Update(list) => list,
+            WatchReport::CallEnded(end) => return self.log_call_end(now, event.watch, &end),
+        };
         if !self.endpoint_watches.accept_event(event.watch) {
             return;
         }
-        let list = event.endpoints;
-        self.step_reducer(now, Input::EndpointUpdate { full: list.complete, members: list.members() });
+        self.apply_list(now, ListSource::Discovery { watch: event.watch }, &list);
         self.store.propose(Change::Members(list));
         self.become_ready(now);
     }
 
+    fn log_call_end(&mut self, now: Micros, watch: WatchId, end: &CallEnd) {
+        *self.discovery_calls.entry(end.reason).or_default() += 1;
+        self.event_log.discovery_call_ended(now, watch, end);
+    }
+
     /// Handles the endpoint list that the store recovered from this proxy's last run.
     pub(super) fn handle_stored_list(&mut self, now: Micros, list: &EndpointList) {
         if self.endpoint_watches.accept_stored(list) {
-            self.step_reducer(now, Input::EndpointUpdate { full: true, members: list.members() });
+            let list = list.clone().into_complete();
+            self.apply_list(now, ListSource::Store, &list);
         }
     }
 
+    /// Applies a list or an update of it, and logs what it changed.
+    pub(super) fn apply_list(&mut self, now: Micros, source: ListSource, list: &EndpointList) {
+        let (revision, full, members) = (list.revision, list.complete, list.members());
+        self.step_reducer(now, Input::EndpointUpdate { revision, full, members });
+        self.event_log.list_applied(now, source, list);
+    }
+
     /// Switches to the configured `discovery` address; all other settings apply from the next start.
     pub(super) fn reload(&mut self, config: Result<Config, ConfigError>) {
         let address = match config {
--- a/src/server/fronts.rs
+++ b/src/server/fronts.rs
@@ -79,6 +79,11 @@
         self.requests.client_of(request)
     }
 
+    /// The id that its client gave an open request; empty if it gave none.
+    pub(super) fn external_id(&self, request: RequestId) -> Option<&[u8]> {
+        self.requests.external_id(request)
+    }
+
     /// Ends a request; returns the client that sent it, unless it had already ended.
     pub(super) fn close_request(&mut self, request: RequestId) -> Option<ClientId> {
         self.requests.close(request)
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -3,7 +3,9 @@
 
 mod clients;
 mod descriptor_budget;
+mod endpoint_directory;
 mod endpoint_watch;
+mod event_log;
 mod event_loop;
 mod fronts;
 mod messages;
@@ -16,7 +18,7 @@
 pub use messages::{Message, Messages};
 pub use startup::{ServeError, serve};
 
-use crate::client::ClientId;
+use crate::client::{ClientCloseReason, ClientId};
 use crate::clock::Clock;
 use crate::core::{ConnectionId, Core};
 use crate::exchange::{MemberRequest, MemberResponse};
@@ -26,9 +28,10 @@
 use crate::{Micros, Settings};
 use crossbeam_channel::Receiver;
 use endpoint_watch::EndpointWatches;
+use event_log::EventLog;
 use fronts::Fronts;
 use shutdown::Shutdown;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// The target of the server's log lines. Its last part is the message id in syslog, which collectors filter
@@ -61,4 +64,9 @@
     /// When the proxy, out of service, starts to close connections between requests.
     drain_at: Option<Micros>,
     shutdown: Shutdown,
+    event_log: EventLog,
+    /// Connections of clients that were closed, by reason.
+    client_closes: BTreeMap<ClientCloseReason, u64>,
+    /// Calls to discovery that ended, by reason.
+    discovery_calls: BTreeMap<&'static str, u64>,
 }
--- a/src/server/reducer_effects.rs
+++ b/src/server/reducer_effects.rs
@@ -1,7 +1,8 @@
 //! Steps of the reducer, and the effects that it requests.
 
+use super::event_log::unnamed_request;
 use super::{LOG_TARGET, Server};
-use crate::core::{ConnectionId, Effect, FinalAnswer, Input, JobId, JobResult, JobSpec};
+use crate::core::{ConnectionId, Effect, FinalAnswer, Input, JobId, JobResult, JobSpec, Record};
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::net::client::ClientHandle;
 use crate::net::member::{MemberHandle, StartConditions, Withdrawal};
@@ -25,10 +26,31 @@
             Effect::CancelUnsentJob { connection, job } => self.cancel_unsent_job(now, connection, job),
             Effect::CloseConnection(connection) => self.close_member_connection(now, connection),
             Effect::Answer { request, answer } => self.answer_request(now, request, answer),
+            Effect::Record(record) => self.log_record(now, &record),
+            Effect::EndpointEjected { endpoint, cause } => {
+                self.event_log.endpoint_ejected(endpoint, &cause);
+            }
             Effect::Log(text) => tracing::info!(target: LOG_TARGET, "{text}"),
         }
     }
 
+    fn log_record(&mut self, now: Micros, record: &Record) {
+        let (request, class) = match record {
+            Record::AttemptFailed { request, .. } => (self.request_name(*request), None),
+            Record::NotServed { request, class, .. } => (self.request_name(*request), Some(*class)),
+            Record::ConnectionClosed { .. } => (String::new(), None),
+        };
+        let class = class.and_then(|class| self.settings.class_names.get(class));
+        self.event_log.record(now, record, &request, class.map_or("", String::as_str));
+    }
+
+    fn request_name(&self, request: RequestId) -> String {
+        match self.fronts.external_id(request) {
+            Some(id) if !id.is_empty() => String::from_utf8_lossy(id).into_owned(),
+            _ => unnamed_request(request),
+        }
+    }
+
     fn open_connection(&mut self, connection: ConnectionId, address: SocketAddr) {
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout);
         let events = self.member_events.clone();
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -2,6 +2,7 @@
 
 use super::{LOG_TARGET, Server};
 use crate::Micros;
+use crate::core::{Counters, RecordKind};
 use crate::front::ServiceState;
 use crate::net::admin::{AdminCall, AdminRequest, AdminResponse};
 
@@ -16,7 +17,7 @@
     pub(super) fn handle_admin_call(&mut self, now: Micros, call: AdminCall) {
         let response = match call.request {
             AdminRequest::Ready => AdminResponse::Answer(self.ready_at.is_none()),
-            AdminRequest::Counters => AdminResponse::Counters(self.reducer.counters()),
+            AdminRequest::Counters => AdminResponse::Counters(self.counters()),
             AdminRequest::SetInService(in_service) => {
                 self.set_in_service(now, in_service);
                 AdminResponse::Answer(true)
@@ -26,6 +27,18 @@
         let _ = call.respond_to.try_send(response);
     }
 
+    /// The counters of the reducer, and those of the server's own records.
+    fn counters(&self) -> Counters {
+        let mut counters = self.reducer.counters();
+        for (reason, count) in &self.client_closes {
+            counters.records.insert((RecordKind::ClientConnectionClosed, reason.name()), *count);
+        }
+        for (reason, count) in &self.discovery_calls {
+            counters.records.insert((RecordKind::DiscoveryCallEnded, reason), *count);
+        }
+        counters
+    }
+
     fn set_in_service(&mut self, now: Micros, in_service: bool) {
         tracing::info!(target: LOG_TARGET, on = in_service, "service state set by an operator");
         self.drain_at = (!in_service).then_some(now + OUT_OF_SERVICE_CLOSE_DELAY);
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -2,6 +2,7 @@
 
 use super::descriptor_budget::DescriptorBudget;
 use super::endpoint_watch::EndpointWatches;
+use super::event_log::{EventLog, ListSource};
 use super::fronts::Fronts;
 use super::service::MAX_STARTUP_WAIT;
 use super::shutdown::Shutdown;
@@ -9,7 +10,7 @@
 use crate::Settings;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::{Core, Input};
+use crate::core::Core;
 use crate::front::postgres::{ExtendedListenerConfig, Postgres};
 use crate::net::admin::{self, CallSink, LoopUnavailable};
 use crate::net::client::{self, ClientListener, ClientReactor, ReactorEvent, ReactorLimits};
@@ -18,7 +19,7 @@
 use crate::store::{Change, State, Store, StoreConfig, StoreError};
 use crate::threads::spawn;
 use crossbeam_channel::bounded;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
@@ -173,6 +174,9 @@
             )?,
             drain_at: None,
             shutdown: Shutdown::new(inherited_listener),
+            event_log: EventLog::default(),
+            client_closes: BTreeMap::new(),
+            discovery_calls: BTreeMap::new(),
             messages,
         };
         Ok((server, reactor))
@@ -181,7 +185,7 @@
     /// Records the configured settings, and recovers the endpoint list of this proxy's last run.
     fn load_configured_state(&mut self, config: &Config) {
         self.store.propose(Change::Set("proxy".into(), config.raw_settings.clone()));
-        let members = config.known_endpoints.members();
-        self.step_reducer(self.clock.now(), Input::EndpointUpdate { full: true, members });
+        let list = config.known_endpoints.clone().into_complete();
+        self.apply_list(self.clock.now(), ListSource::Configuration, &list);
     }
 }
--- a/src/sim_adapter/actions.rs
+++ b/src/sim_adapter/actions.rs
@@ -27,12 +27,12 @@
             reply.extend(span_bytes(*timeout));
             ActionCode::Try
         }
-        Action::Reject { request, retry_after } => {
+        Action::Reject { request, retry_after, .. } => {
             reply.extend(request.to_be_bytes());
             reply.extend(span_bytes(*retry_after));
             ActionCode::Reject
         }
-        Action::Fail(request) => {
+        Action::Fail { request, .. } => {
             reply.extend(request.to_be_bytes());
             ActionCode::GiveUp
         }
@@ -50,11 +50,9 @@
             reply.extend(endpoint_bytes(*endpoint));
             ActionCode::Touch
         }
-        Action::Log(text) => {
-            let size = text.len().min(usize::from(u16::MAX));
-            reply.extend((size as u16).to_be_bytes());
-            reply.extend(&text.as_bytes()[..size]);
-            ActionCode::Log
+        Action::Log(text) => encode_log(text, reply),
+        Action::EndpointEjected { endpoint, cause } => {
+            encode_log(&format!("endpoint {:012x} ejected: {cause}", endpoint.0), reply)
         }
         Action::Subscribe => {
             reply.push(SUBSCRIBE);
@@ -63,6 +61,13 @@
     }
 }
 
+fn encode_log(text: &str, reply: &mut Vec<u8>) -> ActionCode {
+    let size = text.len().min(usize::from(u16::MAX));
+    reply.extend((size as u16).to_be_bytes());
+    reply.extend(&text.as_bytes()[..size]);
+    ActionCode::Log
+}
+
 /// The six low bytes, which contain every identity that the simulator assigns.
 fn endpoint_bytes(endpoint: EndpointId) -> [u8; 6] {
     let [_, _, low @ ..] = endpoint.0.to_be_bytes();
--- a/tests/policy/harness.rs
+++ b/tests/policy/harness.rs
@@ -219,7 +219,7 @@
 
 /// Whether the actions fail this request.
 pub fn is_failed(actions: &[Action], id: u32) -> bool {
-    actions.contains(&Action::Fail(id))
+    actions.iter().any(|a| matches!(a, Action::Fail { request, .. } if *request == id))
 }
 
 /// Pseudo-random numbers (xorshift), the same in every run.
--- a/tests/policy/health.rs
+++ b/tests/policy/health.rs
@@ -151,7 +151,7 @@
             }
             harness.advance(20 * MS);
         }
-        harness.log.iter().filter(|a| matches!(a, Action::Log(_))).count()
+        harness.log.iter().filter(|a| matches!(a, Action::EndpointEjected { .. })).count()
     };
     assert_eq!(stalled(900 * MS), 0, "it was suspended: no endpoint is ejected");
     assert!(stalled(0) > 0, "the same outcomes without a suspension eject endpoints");
--- a/tests/policy/rules.rs
+++ b/tests/policy/rules.rs
@@ -67,7 +67,7 @@
                     self.check_rejection(*request);
                     self.check_answer(now, *request);
                 }
-                Action::Fail(request) => self.check_answer(now, *request),
+                Action::Fail { request, .. } => self.check_answer(now, *request),
                 _ => {}
             }
         }
@@ -307,8 +307,8 @@
 fn the_checker_detects_rejections_of_what_may_have_run() {
     let refuse = |actions: &mut Vec<Action>| {
         for a in actions {
-            if let Action::Fail(request) = a {
-                *a = Action::Reject { request: *request, retry_after: 0 };
+            if let Action::Fail { request, reason } = a {
+                *a = Action::Reject { request: *request, retry_after: 0, reason: *reason };
             }
         }
     };
--- a/tests/policy/selection.rs
+++ b/tests/policy/selection.rs
@@ -75,8 +75,10 @@
             actions = harness.advance(20 * MS);
         }
     }
-    let finals =
-        harness.log.iter().filter(|a| matches!(a, Action::Reject { request: 1, .. } | Action::Fail(1)));
+    let finals = harness
+        .log
+        .iter()
+        .filter(|a| matches!(a, Action::Reject { request: 1, .. } | Action::Fail { request: 1, .. }));
     assert_eq!(finals.count(), 1);
     assert!(is_rejected(&harness.log, 1), "nothing ran, so it is rejected");
 }
--- a/tests/proxy/operations.rs
+++ b/tests/proxy/operations.rs
@@ -49,6 +49,11 @@
     pending=0
     members=1
     members_unavailable=0
+    endpoint_list.revision=1
+    attempts_failed.error=1
+    not_served.may_have_run=1
+    member_connections_closed.job_cancelled=1
+    client_connections_closed.closed_by_client=2
     ");
 }
 
