Discovery: a quiet call stays open and is read beside the next one, so no return is missed

Cause: a call that timed out was given up before the next one was open; in the pause of up to 1.0 s (the grace is 0.5 s) nobody listened, and a second handle kept the given-up connection open, so that discovery wrote the drains to it.

--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -71,6 +71,8 @@
     ClientConnectionClosed,
     /// A call to discovery that ended.
     DiscoveryCallEnded,
+    /// Discovery stopped answering, or answers again.
+    DiscoveryStateChanged,
     /// An endpoint list or an update of it that was applied.
     EndpointListApplied,
     /// A member that the endpoint list added, changed or removed.
@@ -86,6 +88,7 @@
             RecordKind::MemberConnectionClosed => "member_connections_closed",
             RecordKind::ClientConnectionClosed => "client_connections_closed",
             RecordKind::DiscoveryCallEnded => "discovery_calls_ended",
+            RecordKind::DiscoveryStateChanged => "discovery_state_changes",
             RecordKind::EndpointListApplied => "endpoint_lists_applied",
             RecordKind::EndpointChanged => "endpoints_changed",
         }
--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -48,6 +48,8 @@
     pub removed_endpoints_usable: bool,
     /// Whether the endpoint list is sent only on request.
     pub list_on_request: bool,
+    /// The time within which sends to a draining or removed endpoint have to stop.
+    pub drain_grace: Micros,
     /// The share of its capacity that an endpoint has at least when it starts.
     pub slow_start_capacity: f64,
     /// The time within which a started endpoint reaches its full capacity.
@@ -91,6 +93,7 @@
             cancel: true,
             removed_endpoints_usable: false,
             list_on_request: false,
+            drain_grace: 500_000,
             slow_start_capacity: 0.15,
             slow_start_duration: 20_000_000,
             overload_multiple: 2.0,
--- a/src/model/settings_document.rs
+++ b/src/model/settings_document.rs
@@ -112,6 +112,8 @@
     cold_us: Micros,
     fall_multiple: f64,
     fall_us: Micros,
+    #[serde(default = "default_drain_grace")]
+    stop_sending_within_us: Micros,
     #[serde(default)]
     only_draining_binds: bool,
 }
@@ -136,6 +138,10 @@
     Settings::default().connect_timeout
 }
 
+fn default_drain_grace() -> Micros {
+    Settings::default().drain_grace
+}
+
 fn default_idle_timeout() -> Micros {
     Settings::default().idle_timeout
 }
@@ -224,6 +230,7 @@
             slow_start_duration: document.contract.cold_us,
             overload_multiple: document.contract.fall_multiple,
             overload_window: document.contract.fall_us,
+            drain_grace: document.contract.stop_sending_within_us,
             cross_zone_cost: document.prices.cross_zone,
             class_names: document.request_classes.into_iter().map(|class| class.name).collect(),
             load_report_fields: document.stats.fields,
--- a/src/net/discovery/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -1,34 +1,43 @@
-//! The delay between two attempts to open a watch: it doubles while discovery is silent.
+//! The delay before a call that follows a failed one: it doubles while discovery sends nothing.
 
+use super::call_policy::{CallPolicy, JITTER_DIVISOR};
 use crate::random::RandomSource;
 use std::time::Duration;
 
-/// The delay after a watch on which something was received.
-pub const INITIAL_DELAY: Duration = Duration::from_millis(200);
-/// The longest delay before jitter.
-pub const MAX_DELAY: Duration = Duration::from_millis(800);
-/// Steps of jitter: a delay is stretched to between 3/4 and 5/4 of itself in this many steps.
+/// Steps of jitter.
 const JITTER_STEPS: u32 = 1000;
 
 /// Exponential backoff with jitter.
 ///
-/// Guards against hundreds of proxies that reconnect in step, again and again, while discovery is
-/// overloaded.
-pub struct Backoff {
+/// Guards against hundreds of proxies that call in step, again and again, while discovery is overloaded.
+pub(super) struct Backoff {
+    initial: Duration,
+    max: Duration,
     delay: Duration,
     random: RandomSource,
 }
 
 impl Backoff {
-    /// A backoff whose jitter follows from the seed.
-    pub fn new(seed: u64) -> Self {
-        Backoff { delay: INITIAL_DELAY, random: RandomSource::new(seed) }
+    /// A backoff between the delays of this policy, whose jitter follows from the seed.
+    pub(super) fn new(policy: &CallPolicy, seed: u64) -> Self {
+        let (initial, max) = (policy.retry_delay, policy.max_retry_delay);
+        Backoff { initial, max, delay: initial, random: RandomSource::new(seed) }
     }
 
-    /// The next delay; `received` tells whether discovery has sent anything since the previous delay.
-    pub fn next_delay(&mut self, received: bool) -> Duration {
-        self.delay = if received { INITIAL_DELAY } else { (self.delay * 2).min(MAX_DELAY) };
+    /// The delay after a failed call; `received` tells whether it had received something.
+    pub(super) fn next_delay(&mut self, received: bool) -> Duration {
+        self.delay = if received { self.initial } else { (self.delay * 2).min(self.max) };
+        let delay = self.delay;
+        delay - delay / JITTER_DIVISOR + self.jitter(2 * delay)
+    }
+
+    /// This duration, stretched by jitter.
+    pub(super) fn stretched(&mut self, duration: Duration) -> Duration {
+        duration + self.jitter(duration)
+    }
+
+    fn jitter(&mut self, duration: Duration) -> Duration {
         let step = self.random.below(u64::from(JITTER_STEPS)) as u32;
-        self.delay * 3 / 4 + self.delay * step / (2 * JITTER_STEPS)
+        duration / JITTER_DIVISOR * step / JITTER_STEPS
     }
 }
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -8,9 +8,15 @@
     /// The connection failed, or a read or write on it timed out.
     #[error(transparent)]
     Io(#[from] std::io::Error),
-    /// The response has made no progress for too long.
-    #[error("timed out")]
-    TimedOut,
+    /// Another call was opened beside this one, as it was quiet, and took its place.
+    #[error("quiet for too long")]
+    Replaced,
+    /// Another call delivered an update or a heartbeat first.
+    #[error("another call was answered first")]
+    Superseded,
+    /// A new connection did not take the request.
+    #[error("the request could not be written")]
+    RequestNotWritten,
     /// The stream ended within the response.
     #[error("unexpected end of file")]
     UnexpectedEnd,
@@ -44,10 +50,10 @@
     /// The reason in logs and metrics.
     pub fn reason(&self) -> &'static str {
         match self {
-            error if error.is_timeout() => "silent",
             DiscoveryError::Io(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
-            DiscoveryError::Io(_) => "connection_lost",
-            DiscoveryError::TimedOut => "silent",
+            DiscoveryError::Io(_) | DiscoveryError::RequestNotWritten => "connection_lost",
+            DiscoveryError::Replaced => "silent",
+            DiscoveryError::Superseded => "superseded",
             DiscoveryError::UnexpectedEnd => "cut",
             DiscoveryError::Status(_) => "status",
             DiscoveryError::Head(_)
@@ -59,13 +65,4 @@
             | DiscoveryError::List(_) => "unreadable",
         }
     }
-
-    /// Whether the call ended because a time limit passed.
-    pub fn is_timeout(&self) -> bool {
-        match self {
-            DiscoveryError::Io(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
-            DiscoveryError::TimedOut => true,
-            _ => false,
-        }
-    }
 }
--- a/src/server/endpoint_watch.rs
+++ b/src/server/endpoint_watch.rs
@@ -81,6 +81,10 @@
         let list = match event.report {
             WatchReport::Update(list) => list,
             WatchReport::CallEnded(end) => return self.log_call_end(now, event.watch, &end),
+            WatchReport::Unanswered => return self.event_log.discovery_unanswered(now, event.watch),
+            WatchReport::Answered(after) => {
+                return self.event_log.discovery_answered(now, event.watch, after);
+            }
         };
         if !self.endpoint_watches.accept_event(event.watch) {
             return;
--- a/src/server/event_log.rs
+++ b/src/server/event_log.rs
@@ -1,7 +1,8 @@
 //! The log of what happens to requests, connections and the endpoint list.
 //!
-//! Each kind of line has a budget of its own: a burst of lines, then a few per second. Lines beyond that are
-//! left out, and the next one of that kind says how many were. The counters by reason count all of them.
+//! Each kind of line has a budget of its own: a burst of lines, then a few per second. Lines beyond that
+//! are left out, and the next one of that kind says how many were. The counters by reason count all of
+//! them.
 
 use super::LOG_TARGET;
 use super::endpoint_directory::{EndpointChange, EndpointDirectory};
@@ -12,6 +13,7 @@
 use crate::{EndpointId, EndpointState, Micros, RequestId};
 use std::collections::BTreeMap;
 use std::num::NonZeroU64;
+use std::time::Duration;
 
 /// Lines of one kind that may be written in a burst.
 const BURST: f64 = 64.0;
@@ -63,7 +65,8 @@
 }
 
 impl LineBudget {
-    /// Takes a line from the budget. Returns how many were left out before it; `None` if it is left out, too.
+    /// Takes a line from the budget. Returns how many were left out before it; `None` if it is left out,
+    /// too.
     fn take(&mut self, now: Micros) -> Option<LeftOut> {
         let elapsed = now.saturating_sub(self.updated_at) as f64 / MICROS_PER_SECOND;
         self.updated_at = now;
@@ -137,8 +140,24 @@
         let Some(left_out) = self.take_line(now, RecordKind::DiscoveryCallEnded) else { return };
         let CallEnd { call, path, reason, detail, lasted, updates, revision } = end;
         tracing::warn!(
-            target: DISCOVERY_TARGET, watch, call, path, reason, error = detail, lasted_ms = lasted.as_millis(),
-            updates, list_revision = revision, left_out, "discovery call ended"
+            target: DISCOVERY_TARGET, watch, call, path, reason, error = detail,
+            lasted_ms = lasted.as_millis(), updates, list_revision = revision, left_out,
+            "discovery call ended"
+        );
+    }
+
+    /// Writes that no call to discovery is answered in time any more.
+    pub(super) fn discovery_unanswered(&mut self, now: Micros, watch: WatchId) {
+        let Some(left_out) = self.take_line(now, RecordKind::DiscoveryStateChanged) else { return };
+        tracing::warn!(target: DISCOVERY_TARGET, watch, left_out, "discovery does not answer");
+    }
+
+    /// Writes that discovery answers again.
+    pub(super) fn discovery_answered(&mut self, now: Micros, watch: WatchId, after: Duration) {
+        let Some(left_out) = self.take_line(now, RecordKind::DiscoveryStateChanged) else { return };
+        tracing::info!(
+            target: DISCOVERY_TARGET, watch, after_ms = after.as_millis(), left_out,
+            "discovery answers again"
         );
     }
 
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -22,6 +22,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Messages to the event loop that may be queued; further senders block.
 const MESSAGE_QUEUE_CAPACITY: usize = 1024;
@@ -93,7 +94,10 @@
 
 /// Who answers calls to discovery, according to the settings.
 fn discovery_kind(settings: &Settings) -> DiscoveryKind {
-    if settings.list_on_request { DiscoveryKind::SharedService } else { DiscoveryKind::LocalAgent }
+    match settings.list_on_request {
+        true => DiscoveryKind::SharedService,
+        false => DiscoveryKind::LocalAgent { drain_grace: Duration::from_micros(settings.drain_grace) },
+    }
 }
 
 /// Passes operators' requests to the event loop.
--- a/tests/proxy/daemon.rs
+++ b/tests/proxy/daemon.rs
@@ -44,6 +44,7 @@
     <30>1 liftrelay net[liftrelay@32473 name="n0" listen=..."] serving
     <30>1 liftrelay net[liftrelay@32473 list_revision="1" complete="true" source="discovery" watch="0" entries="1" changes="1" known="1"] endpoint list applied
     <30>1 liftrelay net[liftrelay@32473 member="s-0" to="ready" list_revision="1"] endpoint state changed
+    <30>1 liftrelay net[liftrelay@32473 list_revision="1" complete="true" source="discovery" watch="0" entries="1" changes="0" known="1"] endpoint list applied
     <30>1 liftrelay net shutdown requested
     <30>1 liftrelay net shutdown complete
     "#);
