--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # What people do here. `.ci/run` calls `make test` and adds the checks of a clean checkout.
 
-.PHONY: build test lint run check sites fleet-cost
+.PHONY: build test lint run check sites fleet-cost soak
 
 build: ## the two programs, into target/release
 	cargo build --release --locked
 
 test: ## all tests but those of KNOWN-RED.txt, if there is one; they need nothing but this checkout and loopback
-	@skips=$$(.ci/known-red) && cargo test --locked -- --exact $$skips
+	@skips=$$(.ci/known-red) && cargo test --locked -p liftrelay -p liftrelay-soak -- --exact $$skips
 
 lint: ## format, lints and documentation, as CI checks them
 	cargo fmt --all --check
@@ -16,6 +16,12 @@
 fleet-cost: ## what a proxy needs with 200 and with 3,200 members, beside the limits; half a minute
 	cargo bench --locked --bench fleet_cost
 
+SEEDS ?= 1..50
+JOBS ?= 4
+soak: build ## faults on real processes, the rules checked: SEEDS=1..50, JOBS side by side; docs/soak.md
+	cargo build --release --locked -p liftrelay-soak
+	target/release/liftrelay-soak --seeds $(SEEDS) --jobs $(JOBS) --program target/release/liftrelay
+
 run: build ## the proxy, as GW_CONFIG says
 	target/release/liftrelay serve
 
--- /dev/null
+++ b/soak/src/actions.rs
@@ -0,0 +1,139 @@
+//! What the actions of a scenario do to processes, members and discovery.
+
+use crate::discovery::{Agent, AgentMode, ListedMember};
+use crate::history::{MS, Micros, SECOND};
+use crate::member::{Member, MemberFault};
+use crate::run::{FRONT_DELAY, Followup, Run};
+use crate::scenario::Action;
+use rustix::process::Signal;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The old address of discovery closes its calls this long after a reload.
+const OLD_ADDRESS_TIME: Micros = 1500 * MS;
+/// How long the planted stop of a process lasts.
+const PLANTED_STOP: Micros = 4 * SECOND;
+
+impl Run<'_> {
+    /// Does what the scenario drew.
+    pub(crate) fn act(&mut self, now: Micros, action: Action) -> std::io::Result<()> {
+        match action {
+            Action::Agent { proxy, mode } => self.agents[proxy].set_mode(mode),
+            Action::SilenceWatches { proxy } => self.agents[proxy].silence_watches(),
+            Action::Drain { member } => {
+                self.hand_over(now, member);
+                self.members[member].draining.store(true, Ordering::SeqCst);
+                self.change(now, member, |listed| listed.state = "DRAINING");
+            }
+            Action::Remove { member } => {
+                self.hand_over(now, member);
+                self.members[member].draining.store(true, Ordering::SeqCst);
+                self.change(now, member, |listed| listed.state = "DELETED");
+            }
+            Action::Return { member } => {
+                self.members[member].draining.store(false, Ordering::SeqCst);
+                self.history.member_starts.lock().unwrap().push((now, member));
+                self.members[member].cold_since.store(now, Ordering::SeqCst);
+                let boot_ms = unix_ms();
+                self.change(now, member, |listed| {
+                    listed.state = "SERVING";
+                    listed.boot_ms = boot_ms;
+                });
+            }
+            Action::Fault { member, fault } => {
+                if fault == MemberFault::Down {
+                    self.hand_over(now, member);
+                }
+                self.members[member].set_fault(fault);
+            }
+            Action::ChangePrimary { group } => self.hand_over(now, self.primary_of(group)),
+            Action::Lag { group, lag } => {
+                let members = self.members.iter().filter(|member| member.group == group);
+                members.for_each(|member| member.lag.store(lag, Ordering::SeqCst));
+            }
+            Action::Reload { proxy } => self.reload(now, proxy)?,
+            Action::Restart { proxy } => self.restart(now, proxy),
+            Action::Kill { proxy, down } => {
+                self.proxies[proxy].kill();
+                self.followups.push((now + down, Followup::Start(proxy)));
+            }
+            Action::HoldUp { proxy, pause } => {
+                self.proxies[proxy].signal(Signal::STOP);
+                self.followups.push((now + pause, Followup::Continue(proxy)));
+            }
+            Action::Crowd { proxy } => {
+                let (clients, connections) = (self.clients.clone(), self.scenario.sockets);
+                self.spawn(move || clients.iter().for_each(|clients| clients.run_crowd(proxy, connections)));
+            }
+            Action::PlantSwallowedChanges => {
+                let swallows = |agent: &Arc<Agent>| agent.swallows_changes.store(true, Ordering::SeqCst);
+                self.agents.iter().for_each(swallows);
+            }
+            Action::PlantMixedValues => self.members[0].mixes_values.store(true, Ordering::SeqCst),
+            Action::PlantLongStop => {
+                self.proxies[0].signal(Signal::STOP);
+                self.followups.push((now + PLANTED_STOP, Followup::Continue(0)));
+            }
+            Action::PlantCrash => self.proxies[0].signal(Signal::ABORT),
+        }
+        Ok(())
+    }
+
+    fn change(&self, now: Micros, member: usize, change: impl FnOnce(&mut ListedMember)) {
+        self.directory.change(now, &self.history, member, change);
+    }
+
+    fn primary_of(&self, group: usize) -> usize {
+        let mut members = self.members.iter();
+        let is_primary =
+            |member: &&Arc<Member>| member.group == group && member.primary.load(Ordering::SeqCst);
+        members.find(is_primary).map_or(group * self.scenario.group_size, |member| member.index)
+    }
+
+    /// Another member becomes primary, if this one is.
+    fn hand_over(&self, now: Micros, from: usize) {
+        let member = &self.members[from];
+        if !member.primary.load(Ordering::SeqCst) {
+            return;
+        }
+        let can_lead = |other: &&Arc<Member>| {
+            let usable = !other.draining.load(Ordering::SeqCst) && other.fault() == MemberFault::None;
+            other.group == member.group && other.index != from && usable
+        };
+        let Some(next) = self.members.iter().rev().find(can_lead) else { return };
+        member.primary.store(false, Ordering::SeqCst);
+        next.primary.store(true, Ordering::SeqCst);
+        self.change(now, from, |listed| listed.primary = false);
+        self.change(now, next.index, |listed| listed.primary = true);
+    }
+
+    fn reload(&mut self, now: Micros, proxy: usize) -> std::io::Result<()> {
+        let old = self.agents[proxy].clone();
+        let mode = old.mode();
+        self.agents[proxy] = self.new_agent(proxy)?;
+        self.agents[proxy].set_mode(mode);
+        old.set_mode(if mode.is_up() { AgentMode::Closing } else { AgentMode::Gone });
+        self.followups.push((now + OLD_ADDRESS_TIME, Followup::EndAgent(old)));
+        self.proxies[proxy].write_configuration(&self.configuration(proxy))?;
+        self.notices.reloaded(now, proxy);
+        if self.proxies[proxy].check_running() {
+            self.proxies[proxy].signal(Signal::HUP);
+        }
+        Ok(())
+    }
+
+    fn restart(&mut self, now: Micros, proxy: usize) {
+        let process = &self.proxies[proxy];
+        if process.may_exit.swap(true, Ordering::SeqCst) || !process.check_running() {
+            return;
+        }
+        process.signal(Signal::TERM);
+        self.followups.push((now + FRONT_DELAY, Followup::CloseFront(proxy)));
+        self.followups.push((now + self.scenario.kill_after(), Followup::KillAndStart(proxy)));
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/soak/src/client.rs
@@ -0,0 +1,247 @@
+//! Clients: each keeps a connection, sends requests one after the other, and records how they end.
+
+use crate::history::{History, MS, Micros, RequestEnd, RequestRecord, RunClock, SECOND};
+use crate::process::Proxy;
+use crate::random::Draws;
+use crate::scenario::{CLASSES, ClassKind};
+use crate::wire::{Reply, query, read_message, read_reply, startup_message};
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A request has to have its answer this long after its time.
+pub const LATE_LIMIT: Micros = SECOND / 2;
+/// A client sends a request again on a new connection this often, if closes crossed it.
+const MAX_CROSSINGS: u32 = 4;
+/// How long a client waits before it looks for an open front again.
+const FRONT_STEP: Duration = Duration::from_millis(20);
+/// A bad client has to get an error or a close within this.
+const BAD_CLIENT_LIMIT: Duration = Duration::from_millis(3300);
+
+/// What all clients of a run share.
+pub struct Clients {
+    /// The proxies.
+    pub proxies: Vec<Arc<Proxy>>,
+    /// The records.
+    pub history: Arc<History>,
+    /// The clock.
+    pub clock: RunClock,
+    /// The run is over.
+    pub is_over: Arc<AtomicBool>,
+    /// The groups of members.
+    pub groups: usize,
+    /// The seed of the run.
+    pub seed: u64,
+    /// One of so many requests is left early; 0 for none.
+    pub leave_one_in: u64,
+    /// The next id.
+    pub last_id: AtomicU64,
+}
+
+/// A connection of a client, to one process of a proxy.
+struct Connection {
+    stream: TcpStream,
+    generation: u64,
+    has_requested: bool,
+}
+
+/// A request that is being made.
+struct Attempted {
+    id: u64,
+    class: usize,
+    wait: Micros,
+    text: String,
+}
+
+impl Clients {
+    /// Runs one client until the run is over.
+    pub fn run_client(&self, number: u64, proxy: usize, think: Micros) {
+        let mut draws = Draws::new(self.seed, 1000 + number);
+        let mut connection = None;
+        let mut last_write_ms = 0;
+        while !self.is_over.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_micros(draws.between(think / 2, think * 3 / 2)));
+            let request = self.draw_request(&mut draws, number, last_write_ms);
+            let class = request.class;
+            if self.make_request(proxy, request, &mut connection, &mut draws)
+                && CLASSES[class].kind.is_write()
+            {
+                last_write_ms = unix_ms();
+            }
+        }
+    }
+
+    fn draw_request(&self, draws: &mut Draws, session: u64, last_write_ms: u64) -> Attempted {
+        let class = draws.pick(&[0, 0, 1, 1, 1, 2, 2, 3]);
+        let kind = CLASSES[class].kind;
+        let id = (self.seed << 32) | self.last_id.fetch_add(1, Ordering::SeqCst);
+        let wait = draws.between(CLASSES[class].deadline * 2 / 5, CLASSES[class].deadline) / MS * MS;
+        let group = session % self.groups as u64;
+        let mut comment = format!("id={id:016x},c={},d={},cluster={group}", CLASSES[class].name, wait / MS);
+        if kind == ClassKind::Own && last_write_ms > 0 {
+            comment.push_str(&format!(",after={last_write_ms}"));
+        }
+        let text = match kind.is_write() {
+            true => format!(
+                "INSERT INTO entries (ref, payload) VALUES ('k{session}', '\\x9f03') RETURNING payload /* {comment} */"
+            ),
+            false => format!("SELECT payload FROM entries WHERE ref = 'k{session}' /* {comment} */"),
+        };
+        Attempted { id, class, wait, text }
+    }
+
+    /// Makes a request; whether it was served.
+    fn make_request(
+        &self,
+        proxy_index: usize,
+        request: Attempted,
+        slot: &mut Option<Connection>,
+        draws: &mut Draws,
+    ) -> bool {
+        let proxy = &self.proxies[proxy_index];
+        for crossings in 0..=MAX_CROSSINGS {
+            let Some(mut connection) = slot.take().or_else(|| self.connect(proxy)) else {
+                std::thread::sleep(FRONT_STEP);
+                return false;
+            };
+            let generation = connection.generation;
+            let was_used = std::mem::replace(&mut connection.has_requested, true);
+            if connection.stream.write_all(&query(&request.text)).is_err() {
+                continue;
+            }
+            let sent_at = self.clock.now();
+            if self.leave_one_in > 0 && draws.once_in(self.leave_one_in) {
+                std::thread::sleep(Duration::from_micros(draws.between(0, 60 * MS)));
+                drop(connection);
+                self.record(&request, proxy_index, sent_at, RequestEnd::Left);
+                return false;
+            }
+            let end = self.await_reply(&mut connection, sent_at + request.wait + LATE_LIMIT);
+            let gone = proxy.was_killed_unwarned(generation);
+            match end {
+                RequestEnd::Closed if gone => {
+                    self.record(&request, proxy_index, sent_at, RequestEnd::Excused)
+                }
+                // The close crossed a request that was not read: it is sent once more.
+                RequestEnd::Closed
+                    if crossings < MAX_CROSSINGS && (was_used || !self.was_forwarded(request.id)) =>
+                {
+                    if self.was_forwarded(request.id) {
+                        self.record(&request, proxy_index, sent_at, RequestEnd::Closed);
+                        return false;
+                    }
+                    continue;
+                }
+                RequestEnd::Closed if !self.was_forwarded(request.id) => {}
+                end => {
+                    let served = matches!(end, RequestEnd::Served(_));
+                    let is_open = served || matches!(end, RequestEnd::Error(_));
+                    self.record(&request, proxy_index, sent_at, end);
+                    if is_open {
+                        *slot = Some(connection);
+                    }
+                    return served;
+                }
+            }
+            return false;
+        }
+        false
+    }
+
+    fn was_forwarded(&self, id: u64) -> bool {
+        self.history.attempts.lock().unwrap().iter().rev().any(|attempt| attempt.id == id)
+    }
+
+    fn connect(&self, proxy: &Proxy) -> Option<Connection> {
+        if !proxy.is_open.load(Ordering::SeqCst) {
+            return None;
+        }
+        let generation = proxy.generation.load(Ordering::SeqCst);
+        let mut stream = TcpStream::connect_timeout(&proxy.address, Duration::from_secs(1)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+        stream.write_all(&startup_message()).ok()?;
+        loop {
+            match read_message(&mut stream).ok()? {
+                (b'Z', _) => return Some(Connection { stream, generation, has_requested: false }),
+                (b'E', _) => return None,
+                _ => {}
+            }
+        }
+    }
+
+    /// Waits for the reply, until `deadline` at most.
+    fn await_reply(&self, connection: &mut Connection, deadline: Micros) -> RequestEnd {
+        let left = Duration::from_micros(deadline.saturating_sub(self.clock.now()).max(1));
+        let _ = connection.stream.set_read_timeout(Some(left));
+        match read_reply(&mut connection.stream) {
+            Ok(Reply::Row(value)) => RequestEnd::Served(value),
+            Ok(Reply::Error(code)) => RequestEnd::Error(code),
+            Ok(Reply::Empty) => RequestEnd::Error("empty".into()),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                RequestEnd::Silent
+            }
+            Err(_) => RequestEnd::Closed,
+        }
+    }
+
+    fn record(&self, request: &Attempted, proxy: usize, sent_at: Micros, end: RequestEnd) {
+        let ended_at = self.clock.now();
+        let Attempted { id, class, wait, .. } = *request;
+        let record = RequestRecord { id, proxy, class, sent_at, wait, ended_at, end };
+        self.history.requests.lock().unwrap().push(record);
+    }
+
+    /// Runs a client that sends what can't be used, or stops within a message, and stays.
+    pub fn run_bad_client(&self, number: u64, proxy_index: usize) {
+        let mut draws = Draws::new(self.seed, 5000 + number);
+        while !self.is_over.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(draws.between(100, 900)));
+            let proxy = &self.proxies[proxy_index];
+            let Some(mut connection) = self.connect(proxy) else { continue };
+            let whole = query("SELECT 1 /* id=1,c=none,d=x */");
+            let bytes = match draws.below(4) {
+                0 => whole[..whole.len() / 2].to_vec(),
+                1 => b"Q\xff\xff\xff\xffnoise".to_vec(),
+                2 => b"\0\x01\x02garbage that is no message".to_vec(),
+                _ => whole,
+            };
+            if connection.stream.write_all(&bytes).is_err() {
+                continue;
+            }
+            let _ = connection.stream.set_read_timeout(Some(BAD_CLIENT_LIMIT));
+            let reply = read_reply(&mut connection.stream);
+            let is_same = proxy.generation.load(Ordering::SeqCst) == connection.generation;
+            let timed_out =
+                |error: &std::io::Error| matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+            if reply.is_err_and(|error| timed_out(&error)) && is_same && !self.is_over.load(Ordering::SeqCst)
+            {
+                let text = "bad client: neither an error nor a close within 3 s";
+                self.history.incident(self.clock.now(), proxy_index, text);
+            }
+        }
+    }
+
+    /// Opens idle connections that use up the proxy's descriptors, for as long as the run lasts.
+    pub fn run_crowd(&self, proxy: usize, connections: usize) {
+        let mut held = Vec::new();
+        while !self.is_over.load(Ordering::SeqCst) {
+            if held.len() < connections
+                && let Ok(stream) =
+                    TcpStream::connect_timeout(&self.proxies[proxy].address, Duration::from_secs(1))
+            {
+                let _ = (&stream).write_all(&startup_message());
+                let _ = stream.set_nonblocking(true);
+                held.push(stream);
+            }
+            held.retain(|stream| !matches!(stream.peek(&mut [0]), Ok(0)));
+            std::thread::sleep(Duration::from_millis(if held.len() < connections { 1 } else { 50 }));
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/soak/src/history.rs
@@ -0,0 +1,169 @@
+//! What clients, members, discovery and the processes saw: the rules are checked on these records alone.
+
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// Microseconds since the start of the run.
+pub type Micros = u64;
+/// Microseconds in a millisecond.
+pub const MS: Micros = 1_000;
+/// Microseconds in a second.
+pub const SECOND: Micros = 1_000_000;
+
+/// The clock of one run.
+#[derive(Clone, Copy)]
+pub struct RunClock(Instant);
+
+impl RunClock {
+    /// Starts at 0.
+    pub fn start() -> RunClock {
+        RunClock(Instant::now())
+    }
+
+    /// The time since the start.
+    pub fn now(&self) -> Micros {
+        self.0.elapsed().as_micros() as Micros
+    }
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// Served with this value.
+    Served(String),
+    /// Rejected or failed with this SQLSTATE.
+    Error(String),
+    /// The proxy closed the connection without an answer, at least once more on a new connection.
+    Closed,
+    /// No answer had come half a second after its time.
+    Silent,
+    /// The client closed its connection first.
+    Left,
+    /// Its proxy was killed without a warning, or the run ended.
+    Excused,
+}
+
+/// A request, as its client saw it.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    /// Its id.
+    pub id: u64,
+    /// The index of the proxy.
+    pub proxy: usize,
+    /// The index of the class.
+    pub class: usize,
+    /// When its last byte was written.
+    pub sent_at: Micros,
+    /// How long its client waits.
+    pub wait: Micros,
+    /// When it ended.
+    pub ended_at: Micros,
+    /// How it ended.
+    pub end: RequestEnd,
+}
+
+/// How a member answered an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// With its value.
+    Served,
+    /// Not the primary, or too far behind.
+    NotServable,
+    /// With an error, after it ran.
+    Error,
+    /// Turned away: the member drains.
+    TurnedAway,
+    /// Not at all: the member hung, or closed the connection.
+    NoAnswer,
+}
+
+/// An attempt, as a member saw it.
+#[derive(Clone, Debug)]
+pub struct AttemptRecord {
+    /// The id of its request.
+    pub id: u64,
+    /// The proxy that sent it.
+    pub proxy: usize,
+    /// The index of the member.
+    pub member: usize,
+    /// When it arrived.
+    pub at: Micros,
+    /// How long the member was told that the proxy waits.
+    pub told_wait: Micros,
+    /// It ran.
+    pub executed: bool,
+    /// The value it was answered with.
+    pub value: String,
+    /// How far the member had applied the log.
+    pub position: Micros,
+    /// The member was primary.
+    pub primary: bool,
+    /// How it ended.
+    pub end: AttemptEnd,
+}
+
+/// A change of one member in the list, from when discovery had it.
+#[derive(Clone, Copy, Debug)]
+pub struct ListChange {
+    /// When.
+    pub at: Micros,
+    /// The revision of the list.
+    pub revision: u64,
+    /// The index of the member.
+    pub member: usize,
+    /// Whether new requests may be sent to it.
+    pub serving: bool,
+}
+
+/// Discovery told a proxy a revision, or it counts as told from then on.
+#[derive(Clone, Copy, Debug)]
+pub struct Notice {
+    /// When.
+    pub at: Micros,
+    /// The proxy.
+    pub proxy: usize,
+    /// The revision.
+    pub revision: u64,
+}
+
+/// A finding that was made while the run was played.
+#[derive(Clone, Debug)]
+pub struct Incident {
+    /// When.
+    pub at: Micros,
+    /// The proxy.
+    pub proxy: usize,
+    /// What, in words.
+    pub text: String,
+}
+
+/// All records of a run.
+#[derive(Default)]
+pub struct History {
+    /// Requests.
+    pub requests: Mutex<Vec<RequestRecord>>,
+    /// Attempts.
+    pub attempts: Mutex<Vec<AttemptRecord>>,
+    /// Changes of the list.
+    pub changes: Mutex<Vec<ListChange>>,
+    /// What discovery told.
+    pub notices: Mutex<Vec<Notice>>,
+    /// Starts of members: when, and the index of the member.
+    pub member_starts: Mutex<Vec<(Micros, usize)>>,
+    /// Findings made while the run was played.
+    pub incidents: Mutex<Vec<Incident>>,
+    /// What was done to the processes and to discovery, for the report.
+    pub events: Mutex<Vec<(Micros, String)>>,
+}
+
+impl History {
+    /// Notes something that was done.
+    pub fn note(&self, at: Micros, text: String) {
+        self.events.lock().unwrap().push((at, text));
+    }
+
+    /// Records a finding.
+    pub fn incident(&self, at: Micros, proxy: usize, text: impl Into<String>) {
+        self.incidents.lock().unwrap().push(Incident { at, proxy, text: text.into() });
+    }
+}
--- /dev/null
+++ b/soak/src/member.rs
@@ -0,0 +1,310 @@
+//! Members: servers of simple queries with a role, a lag, a capacity, and faults.
+
+use crate::history::{AttemptEnd, AttemptRecord, History, MS, Micros, RunClock, SECOND};
+use crate::random::Draws;
+use crate::scenario::{COLD_FROM, COLD_TIME};
+use crate::wire::{MemberReply, message, read_body, read_message};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How often a listener looks for connections.
+const ACCEPT_STEP: Duration = Duration::from_millis(2);
+/// How long a member that hangs keeps a connection.
+const MAX_HANG: Duration = Duration::from_secs(30);
+
+/// Requests that a member works on at a time.
+const CORES: u32 = 2;
+/// The work of a request on a warm member.
+const MIN_WORK: Micros = MS;
+const MAX_WORK: Micros = 12 * MS;
+/// The requests of mean work that a warm member serves per second.
+pub const CAPACITY: f64 = 2.0 * CORES as f64 * SECOND as f64 / (MIN_WORK + MAX_WORK) as f64;
+
+/// The share of its capacity that a member has this long after its start.
+pub fn warmth(age: Micros) -> f64 {
+    (COLD_FROM + (1.0 - COLD_FROM) * age as f64 / COLD_TIME as f64).min(1.0)
+}
+
+/// What a member does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberFault {
+    /// Nothing.
+    None,
+    /// It takes requests, runs them, and does not answer.
+    Hangs,
+    /// It resets each connection on a request, before or after running it.
+    Resets,
+    /// New connections come up late.
+    SlowToConnect,
+    /// It answers with errors after running requests.
+    Errors,
+    /// Its process is gone: connections are refused.
+    Down,
+}
+
+/// A member.
+pub struct Member {
+    /// Its index.
+    pub index: usize,
+    /// Its group.
+    pub group: usize,
+    /// It is primary.
+    pub primary: AtomicBool,
+    /// It drains: it turns requests away.
+    pub draining: AtomicBool,
+    /// How far it is behind the primary.
+    pub lag: AtomicU64,
+    /// Readers that are too far behind are turned away by it.
+    pub rejects_stale: bool,
+    /// A planted fault: it answers with another request's value.
+    pub mixes_values: AtomicBool,
+    /// When it last started and was cold; 0 for long ago.
+    pub cold_since: AtomicU64,
+    position: AtomicU64,
+    busy_cores: Mutex<u32>,
+    core_free: Condvar,
+    fault: Mutex<MemberFault>,
+    /// When it last started over: connections from before are closed.
+    started_at: AtomicU64,
+    history: Arc<History>,
+    clock: RunClock,
+    is_over: Arc<AtomicBool>,
+    seed: u64,
+}
+
+impl Member {
+    /// A member that is not listening yet.
+    pub fn new(
+        index: usize,
+        group: usize,
+        rejects_stale: bool,
+        seed: u64,
+        history: Arc<History>,
+        clock: RunClock,
+        is_over: Arc<AtomicBool>,
+    ) -> Member {
+        Member {
+            index,
+            group,
+            primary: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            lag: AtomicU64::new(5 * MS),
+            rejects_stale,
+            mixes_values: AtomicBool::new(false),
+            cold_since: AtomicU64::new(0),
+            position: AtomicU64::new(0),
+            busy_cores: Mutex::new(0),
+            core_free: Condvar::new(),
+            fault: Mutex::new(MemberFault::None),
+            started_at: AtomicU64::new(0),
+            history,
+            clock,
+            is_over,
+            seed,
+        }
+    }
+
+    /// What it does wrong now.
+    pub fn fault(&self) -> MemberFault {
+        *self.fault.lock().unwrap()
+    }
+
+    /// Changes what it does wrong; its connections are closed when it goes down.
+    pub fn set_fault(&self, fault: MemberFault) {
+        *self.fault.lock().unwrap() = fault;
+        if fault == MemberFault::Down {
+            self.started_at.store(self.clock.now(), Ordering::SeqCst);
+        }
+    }
+
+    /// Listens for one proxy; returns the address.
+    pub fn listen(self: &Arc<Self>, address: SocketAddr, proxy: usize) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let member = self.clone();
+        std::thread::spawn(move || member.accept(listener, address, proxy));
+        Ok(address)
+    }
+
+    fn accept(self: Arc<Self>, listener: TcpListener, address: SocketAddr, proxy: usize) {
+        let mut listener = Some(listener);
+        while !self.is_over.load(Ordering::SeqCst) {
+            if self.fault() == MemberFault::Down {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+            }
+            if let Some(listener) = &listener {
+                let _ = listener.set_nonblocking(true);
+                while let Ok((stream, _)) = listener.accept() {
+                    let member = self.clone();
+                    std::thread::spawn(move || drop(member.serve(stream, proxy)));
+                }
+            }
+            std::thread::sleep(ACCEPT_STEP);
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream, proxy: usize) -> std::io::Result<()> {
+        stream.set_nonblocking(false)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(MAX_HANG))?;
+        let opened_at = self.clock.now();
+        let mut draws = Draws::new(self.seed, opened_at);
+        read_body(&mut stream)?;
+        if self.fault() == MemberFault::SlowToConnect {
+            std::thread::sleep(Duration::from_millis(draws.between(50, 1500)));
+        }
+        stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
+        loop {
+            let (tag, body) = read_message(&mut stream)?;
+            if tag != b'Q' || opened_at < self.started_at.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+            let text = String::from_utf8_lossy(&body[..body.len().saturating_sub(1)]).into_owned();
+            if text.is_empty() {
+                stream.write_all(&[message(b'I', &[]), message(b'Z', b"I")].concat())?;
+            } else if text == "SHOW health" {
+                self.answer_health_check(&mut stream)?;
+            } else if !self.answer_query(&mut stream, proxy, &text, &mut draws)? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// How far it has applied the log: that never moves back.
+    fn position(&self) -> Micros {
+        let lag = if self.primary.load(Ordering::SeqCst) { 0 } else { self.lag.load(Ordering::SeqCst) };
+        let position = self.clock.now().saturating_sub(lag);
+        self.position.fetch_max(position, Ordering::SeqCst).max(position)
+    }
+
+    /// Works on a request once a core is free; a member that has just started is slower.
+    fn work(&self, draws: &mut Draws) {
+        let mut busy = self.busy_cores.lock().unwrap();
+        while *busy >= CORES {
+            busy = self.core_free.wait(busy).unwrap();
+        }
+        *busy += 1;
+        drop(busy);
+        let work = draws.between(MIN_WORK, MAX_WORK) as f64 / self.warmth();
+        std::thread::sleep(Duration::from_micros(work as u64));
+        *self.busy_cores.lock().unwrap() -= 1;
+        self.core_free.notify_one();
+    }
+
+    /// The share of its capacity that it has now.
+    fn warmth(&self) -> f64 {
+        match self.cold_since.load(Ordering::SeqCst) {
+            0 => 1.0,
+            started => warmth(self.clock.now().saturating_sub(started)),
+        }
+    }
+
+    /// This position of the run as a Unix time in milliseconds.
+    fn unix_ms(&self, position: Micros) -> u64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        now - self.clock.now().saturating_sub(position) / MS
+    }
+
+    fn answer_health_check(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        if self.fault() == MemberFault::Hangs {
+            return Ok(());
+        }
+        let position_ms = self.unix_ms(self.position());
+        let primary = self.primary.load(Ordering::SeqCst);
+        let report = format!("x0={}.{:03},x1={}", position_ms / 1000, position_ms % 1000, u8::from(primary));
+        MemberReply { result: Ok(&report), primary, position_ms }.write(stream)
+    }
+
+    /// Answers an attempt and records it; `false` if the connection is to end.
+    fn answer_query(
+        &self,
+        stream: &mut TcpStream,
+        proxy: usize,
+        text: &str,
+        draws: &mut Draws,
+    ) -> std::io::Result<bool> {
+        let at = self.clock.now();
+        let id = u64::from_str_radix(field(text, "id=").unwrap_or("0"), 16).unwrap_or(0);
+        let told_wait = field(text, "d=").and_then(|digits| digits.parse::<u64>().ok()).unwrap_or(0) * MS;
+        let primary = self.primary.load(Ordering::SeqCst);
+        let (position, fault) = (self.position(), self.fault());
+        let (end, executed) = self.outcome(text, primary, position, fault, draws);
+        let mut value = format!("v{id:016x}-{}-{at}", self.index);
+        if self.mixes_values.load(Ordering::SeqCst) && end == AttemptEnd::Served {
+            value = format!("v{:016x}-0-0", id ^ 1);
+        }
+        if executed {
+            self.work(draws);
+        }
+        let recorded = AttemptRecord {
+            id,
+            proxy,
+            member: self.index,
+            at,
+            told_wait,
+            executed,
+            value: if self.mixes_values.load(Ordering::SeqCst) { String::new() } else { value.clone() },
+            position,
+            primary,
+            end,
+        };
+        self.history.attempts.lock().unwrap().push(recorded);
+        let reply = |result| MemberReply { result, primary, position_ms: self.unix_ms(position) };
+        match end {
+            AttemptEnd::Served => reply(Ok(&value)).write(stream)?,
+            AttemptEnd::NotServable => {
+                reply(Err(if text.starts_with("INSERT") { "25006" } else { "72000" })).write(stream)?;
+            }
+            AttemptEnd::Error => reply(Err("XX000")).write(stream)?,
+            AttemptEnd::TurnedAway => reply(Err("53300")).write(stream)?,
+            AttemptEnd::NoAnswer if fault == MemberFault::Hangs => {
+                let _ = std::io::Read::read(stream, &mut [0]);
+                return Ok(false);
+            }
+            AttemptEnd::NoAnswer => {
+                let _ = rustix::net::sockopt::set_socket_linger(&*stream, Some(Duration::ZERO));
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// How an attempt ends, and whether it runs.
+    fn outcome(
+        &self,
+        text: &str,
+        primary: bool,
+        position: Micros,
+        fault: MemberFault,
+        draws: &mut Draws,
+    ) -> (AttemptEnd, bool) {
+        if self.draining.load(Ordering::SeqCst) {
+            return (AttemptEnd::TurnedAway, false);
+        }
+        match fault {
+            MemberFault::Hangs => return (AttemptEnd::NoAnswer, true),
+            MemberFault::Resets => return (AttemptEnd::NoAnswer, draws.once_in(2)),
+            _ => {}
+        }
+        let after = field(text, "after=").and_then(|digits| digits.parse::<u64>().ok());
+        let is_behind = after.is_some_and(|after| self.unix_ms(position) < after) && self.rejects_stale;
+        if !primary && (is_behind || text.starts_with("INSERT")) {
+            return (AttemptEnd::NotServable, false);
+        }
+        if fault == MemberFault::Errors && draws.once_in(2) {
+            return (AttemptEnd::Error, true);
+        }
+        (AttemptEnd::Served, true)
+    }
+}
+
+/// The value behind a name in a statement's comment.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let comment = text.split("/* ").nth(1)?.strip_suffix(" */")?;
+    comment.split(',').find_map(|field| field.strip_prefix(name))
+}
--- /dev/null
+++ b/soak/src/report.rs
@@ -0,0 +1,105 @@
+//! Shows a broken rule: the run, the way of one request, and what was done around it.
+
+use crate::checker::Finding;
+use crate::discovery::member_name;
+use crate::history::{History, Micros, SECOND};
+use crate::process::Proxy;
+use crate::scenario::{CLASSES, Scenario};
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+/// Findings that are shown of each run.
+const SHOWN_FINDINGS: usize = 3;
+/// Notices and log lines that are shown of each finding.
+const SHOWN_LINES: usize = 8;
+/// What was done is shown from this long before a finding.
+const SHOWN_BEFORE: Micros = 8 * SECOND;
+
+fn seconds(at: Micros) -> String {
+    format!("{:.3}", at as f64 / SECOND as f64)
+}
+
+/// The report of a run with findings.
+pub fn report(
+    scenario: &Scenario,
+    history: &History,
+    proxies: &[Arc<Proxy>],
+    findings: &[Finding],
+) -> String {
+    let mut text = String::new();
+    let Scenario { seed, proxies: count, on_request, drain_grace, .. } = scenario;
+    let kind = if *on_request { "asked for" } else { "pushed" };
+    let _ = writeln!(
+        text,
+        "seed {seed}: {} broken; {count} proxies, {} members, lists {kind}, grace {} ms",
+        findings.len(),
+        scenario.members(),
+        drain_grace / 1000
+    );
+    for finding in findings.iter().take(SHOWN_FINDINGS) {
+        let _ = writeln!(text, "  {} {}: {}", seconds(finding.at), finding.rule, finding.text);
+        if let Some(id) = finding.request {
+            show_request(&mut text, history, proxies, id);
+        }
+    }
+    if let Some(finding) = findings.first() {
+        show_events(&mut text, history, finding.at);
+    }
+    text
+}
+
+/// The way of one request: its client, its attempts, what its proxy was told, and what its log says.
+fn show_request(text: &mut String, history: &History, proxies: &[Arc<Proxy>], id: u64) {
+    let mut proxy = None;
+    for request in history.requests.lock().unwrap().iter().filter(|request| request.id == id) {
+        proxy = Some(request.proxy);
+        let _ = writeln!(
+            text,
+            "    client: id {id:016x} class {} to n{}, sent {}, would wait {} ms, ended {}: {:?}",
+            CLASSES[request.class].name,
+            request.proxy,
+            seconds(request.sent_at),
+            request.wait / 1000,
+            seconds(request.ended_at),
+            request.end
+        );
+    }
+    for attempt in history.attempts.lock().unwrap().iter().filter(|attempt| attempt.id == id) {
+        proxy = proxy.or(Some(attempt.proxy));
+        let _ = writeln!(
+            text,
+            "    member {} from n{}: {}, {:?}, told {} ms",
+            member_name(attempt.member),
+            attempt.proxy,
+            seconds(attempt.at),
+            attempt.end,
+            attempt.told_wait / 1000
+        );
+    }
+    let Some(proxy) = proxy else { return };
+    let notices = history.notices.lock().unwrap();
+    let told: Vec<String> = notices
+        .iter()
+        .filter(|notice| notice.proxy == proxy)
+        .map(|notice| format!("{}:v{}", seconds(notice.at), notice.revision))
+        .collect();
+    let _ = writeln!(
+        text,
+        "    discovery told n{proxy}: {}",
+        told[told.len().saturating_sub(SHOWN_LINES)..].join(" ")
+    );
+    for line in proxies[proxy].log_lines(&format!("{id:016x}"), SHOWN_LINES) {
+        let _ = writeln!(text, "    log: {line}");
+    }
+    for line in proxies[proxy].log_lines(" discovery [", SHOWN_LINES) {
+        let _ = writeln!(text, "    log: {line}");
+    }
+}
+
+fn show_events(text: &mut String, history: &History, at: Micros) {
+    for (when, event) in history.events.lock().unwrap().iter() {
+        if *when <= at && *when + SHOWN_BEFORE >= at {
+            let _ = writeln!(text, "    done: {} {event}", seconds(*when));
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,286 @@
+//! Plays one scenario: starts the processes and the emulators, does what was drawn, and ends them.
+
+use crate::client::Clients;
+use crate::discovery::{Agent, AgentMode, EndpointDirectory, ListedMember};
+use crate::history::{History, MS, Micros, RunClock};
+use crate::member::Member;
+use crate::notices::Notices;
+use crate::process::Proxy;
+use crate::scenario::Scenario;
+use rustix::process::Signal;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// The step of the loop that does what is due.
+const STEP: Duration = Duration::from_millis(2);
+/// Between two looks at what the processes hold.
+const USAGE_INTERVAL: Micros = 250 * MS;
+/// The memory of a proxy.
+const MEMORY_MB: u64 = 192;
+/// New connections go on coming this long after SIGTERM.
+pub(crate) const FRONT_DELAY: Micros = 300 * MS;
+/// The mean pause of a client between two requests.
+const THINK_TIME: Micros = 90 * MS;
+/// The first octets of addresses, so that runs side by side have their own.
+const FIRST_NETWORK: u64 = 20;
+const NETWORKS: u64 = 200;
+/// The last octets of the addresses of a proxy, its members and its agents.
+const PROXY_HOST: u8 = 1;
+const FIRST_MEMBER_HOST: u8 = 10;
+const FIRST_AGENT_HOST: u8 = 100;
+
+/// Something to do later, in place of what the scenario drew.
+pub(crate) enum Followup {
+    CloseFront(usize),
+    KillAndStart(usize),
+    Start(usize),
+    Continue(usize),
+    EndAgent(Arc<Agent>),
+}
+
+/// A run in play.
+pub(crate) struct Run<'a> {
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) history: Arc<History>,
+    pub(crate) clock: RunClock,
+    pub(crate) is_over: Arc<AtomicBool>,
+    pub(crate) directory: Arc<EndpointDirectory>,
+    pub(crate) members: Vec<Arc<Member>>,
+    pub(crate) member_addresses: Vec<Vec<SocketAddr>>,
+    pub(crate) proxies: Vec<Arc<Proxy>>,
+    pub(crate) agents: Vec<Arc<Agent>>,
+    pub(crate) notices: Notices,
+    pub(crate) followups: Vec<(Micros, Followup)>,
+    pub(crate) agents_made: u8,
+    pub(crate) clients: Option<Arc<Clients>>,
+    pub(crate) threads: Arc<Mutex<Vec<std::thread::JoinHandle<()>>>>,
+}
+
+/// What is left of a run: its records, and its processes with their logs.
+pub struct PlayedRun {
+    /// The records.
+    pub history: Arc<History>,
+    /// The proxies.
+    pub proxies: Vec<Arc<Proxy>>,
+}
+
+/// Plays a scenario with this program; files go to this folder.
+pub fn play(scenario: &Scenario, program: &Path, folder: &Path) -> std::io::Result<PlayedRun> {
+    let mut run = Run::prepare(scenario, program, folder)?;
+    run.start()?;
+    run.play_actions()?;
+    run.finish();
+    Ok(PlayedRun { history: run.history.clone(), proxies: run.proxies.clone() })
+}
+
+impl<'a> Run<'a> {
+    fn prepare(scenario: &'a Scenario, program: &Path, folder: &Path) -> std::io::Result<Run<'a>> {
+        let (history, clock) = (Arc::new(History::default()), RunClock::start());
+        let is_over = Arc::new(AtomicBool::new(false));
+        let make_member = |index: usize| {
+            let group = index / scenario.group_size;
+            let (history, is_over) = (history.clone(), is_over.clone());
+            let rejects = scenario.rejects_stale;
+            Arc::new(Member::new(index, group, rejects, scenario.seed, history, clock, is_over))
+        };
+        let members: Vec<_> = (0..scenario.members()).map(make_member).collect();
+        for group in 0..scenario.groups {
+            members[group * scenario.group_size].primary.store(true, Ordering::SeqCst);
+        }
+        let listed = |member: &Arc<Member>| ListedMember {
+            index: member.index,
+            group: member.group,
+            state: "SERVING",
+            primary: member.primary.load(Ordering::SeqCst),
+            boot_ms: 0,
+        };
+        let directory = Arc::new(EndpointDirectory::new(members.iter().map(listed).collect()));
+        let mut run = Run {
+            scenario,
+            history,
+            clock,
+            is_over,
+            directory,
+            members,
+            member_addresses: Vec::new(),
+            proxies: Vec::new(),
+            agents: Vec::new(),
+            notices: Notices::new(scenario),
+            followups: Vec::new(),
+            agents_made: 0,
+            clients: None,
+            threads: Arc::default(),
+        };
+        for proxy in 0..scenario.proxies {
+            let mut addresses = Vec::new();
+            for member in &run.members {
+                let host = FIRST_MEMBER_HOST + member.index as u8;
+                addresses.push(member.listen(run.address(proxy, host, 0), proxy)?);
+            }
+            run.member_addresses.push(addresses);
+            let agent = run.new_agent(proxy)?;
+            run.agents.push(agent);
+            let address = run.free_address(proxy)?;
+            let (history, clock) = (run.history.clone(), run.clock);
+            run.proxies.push(Arc::new(Proxy::new(proxy, address, program, folder, history, clock)?));
+        }
+        Ok(run)
+    }
+
+    fn address(&self, proxy: usize, host: u8, port: u16) -> SocketAddr {
+        let network = (FIRST_NETWORK + self.scenario.seed % NETWORKS) as u8;
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, proxy as u8, host)), port)
+    }
+
+    fn free_address(&self, proxy: usize) -> std::io::Result<SocketAddr> {
+        std::net::TcpListener::bind(self.address(proxy, PROXY_HOST, 0))?.local_addr()
+    }
+
+    pub(crate) fn new_agent(&mut self, proxy: usize) -> std::io::Result<Arc<Agent>> {
+        let address = self.address(proxy, FIRST_AGENT_HOST + self.agents_made, 0);
+        self.agents_made += 1;
+        Agent::start(
+            address,
+            proxy,
+            self.member_addresses[proxy].clone(),
+            self.directory.clone(),
+            self.history.clone(),
+            self.clock,
+            self.is_over.clone(),
+        )
+    }
+
+    fn start(&mut self) -> std::io::Result<()> {
+        for proxy in 0..self.proxies.len() {
+            self.start_proxy(proxy)?;
+        }
+        let clients = Arc::new(Clients {
+            proxies: self.proxies.clone(),
+            history: self.history.clone(),
+            clock: self.clock,
+            is_over: self.is_over.clone(),
+            groups: self.scenario.groups,
+            seed: self.scenario.seed,
+            leave_one_in: self.scenario.leave_one_in,
+            last_id: AtomicU64::new(1),
+        });
+        for proxy in 0..self.proxies.len() {
+            for client in 0..self.scenario.clients {
+                let (clients, number) = (clients.clone(), (proxy * 1000 + client) as u64);
+                self.spawn(move || clients.run_client(number, proxy, THINK_TIME));
+            }
+            for client in 0..self.scenario.bad_clients {
+                let (clients, number) = (clients.clone(), (proxy * 1000 + client) as u64);
+                self.spawn(move || clients.run_bad_client(number, proxy));
+            }
+        }
+        self.clients = Some(clients);
+        Ok(())
+    }
+
+    pub(crate) fn spawn(&self, run: impl FnOnce() + Send + 'static) {
+        self.threads.lock().unwrap().push(std::thread::spawn(run));
+    }
+
+    pub(crate) fn configuration(&self, proxy: usize) -> String {
+        let addresses = &self.member_addresses[proxy];
+        let (_, known) = self.directory.text(None, &|member| addresses[member]);
+        format!(
+            r#"{{"name":"n{proxy}","listen":"{}","discovery":"{}","seed":"{:x}","limits":{{"sockets":{},"memory_mb":{MEMORY_MB}}},"known":{known},"settings":{}}}"#,
+            self.proxies[proxy].address,
+            self.agents[proxy].address,
+            self.scenario.seed,
+            self.scenario.sockets,
+            self.scenario.settings_text()
+        )
+    }
+
+    /// Starts a process. What its agent has counts from its first moment.
+    fn start_proxy(&mut self, proxy: usize) -> std::io::Result<()> {
+        self.proxies[proxy].write_configuration(&self.configuration(proxy))?;
+        self.notices.process_started(self.clock.now(), &self.agents[proxy]);
+        self.proxies[proxy].start()
+    }
+
+    fn play_actions(&mut self) -> std::io::Result<()> {
+        let mut next = 0;
+        let mut usage_at = 0;
+        while self.clock.now() < self.scenario.duration {
+            let now = self.clock.now();
+            while let Some((at, action)) = self.scenario.actions.get(next)
+                && *at <= now
+            {
+                self.history.note(now, format!("{action:?}"));
+                self.act(now, *action)?;
+                next += 1;
+            }
+            self.do_followups(now)?;
+            self.agents.iter().for_each(|agent| self.notices.update(now, agent));
+            if now >= usage_at {
+                usage_at = now + USAGE_INTERVAL;
+                self.proxies.iter().for_each(|proxy| self.check_usage(now, proxy));
+            }
+            std::thread::sleep(STEP);
+        }
+        Ok(())
+    }
+
+    fn do_followups(&mut self, now: Micros) -> std::io::Result<()> {
+        while let Some(index) = self.followups.iter().position(|(at, _)| *at <= now) {
+            match self.followups.swap_remove(index).1 {
+                Followup::CloseFront(proxy) => self.proxies[proxy].is_open.store(false, Ordering::SeqCst),
+                Followup::KillAndStart(proxy) => {
+                    if self.proxies[proxy].check_running() {
+                        self.proxies[proxy].kill();
+                    }
+                    self.start_proxy(proxy)?;
+                }
+                Followup::Start(proxy) => self.start_proxy(proxy)?,
+                Followup::Continue(proxy) => self.proxies[proxy].signal(Signal::CONT),
+                Followup::EndAgent(agent) => agent.set_mode(AgentMode::Gone),
+            }
+        }
+        Ok(())
+    }
+
+    fn check_usage(&self, now: Micros, proxy: &Proxy) {
+        proxy.check_running();
+        let Some((memory_kib, descriptors)) = proxy.usage() else { return };
+        if memory_kib > MEMORY_MB * 1024 || descriptors > self.scenario.sockets {
+            let text = format!("limits: {memory_kib} KiB, {descriptors} descriptors");
+            self.history.incident(now, proxy.index, text);
+        }
+    }
+
+    /// Ends the processes with SIGTERM, while clients go on; they have to end by themselves with 0.
+    fn finish(&mut self) {
+        let now = self.clock.now();
+        for proxy in 0..self.proxies.len() {
+            let process = &self.proxies[proxy];
+            if !process.may_exit.swap(true, Ordering::SeqCst) && process.check_running() {
+                process.signal(Signal::CONT);
+                process.signal(Signal::TERM);
+            }
+        }
+        let kill_at = now + self.scenario.kill_after();
+        let mut fronts_open = true;
+        while self.clock.now() < kill_at && self.proxies.iter().any(|proxy| proxy.check_running()) {
+            if fronts_open && self.clock.now() > now + FRONT_DELAY {
+                fronts_open = false;
+                self.proxies.iter().for_each(|proxy| proxy.is_open.store(false, Ordering::SeqCst));
+            }
+            self.agents.iter().for_each(|agent| self.notices.update(self.clock.now(), agent));
+            std::thread::sleep(STEP);
+        }
+        self.proxies.iter().filter(|proxy| proxy.check_running()).for_each(|proxy| proxy.kill());
+        self.is_over.store(true, Ordering::SeqCst);
+        for thread in std::mem::take(&mut *self.threads.lock().unwrap()) {
+            if thread.join().is_err() {
+                self.history.incident(self.clock.now(), 0, "emulator: a client's thread panicked");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/soak/tests/checker.rs
@@ -0,0 +1,129 @@
+//! The checker on records written by hand: for each rule, a record that just keeps it and one that breaks it.
+
+use liftrelay_soak::checker::check;
+use liftrelay_soak::history::{
+    AttemptEnd, AttemptRecord, History, ListChange, MS, Micros, Notice, RequestEnd, RequestRecord, SECOND,
+};
+use liftrelay_soak::scenario::Scenario;
+
+const WRITE: usize = 2;
+const RECENT: usize = 3;
+
+fn request(class: usize, end: RequestEnd) -> RequestRecord {
+    RequestRecord { id: 7, proxy: 0, class, sent_at: SECOND, wait: SECOND, ended_at: SECOND + 10 * MS, end }
+}
+
+fn attempt(at: Micros, executed: bool) -> AttemptRecord {
+    AttemptRecord {
+        id: 7,
+        proxy: 0,
+        member: 0,
+        at,
+        told_wait: 900 * MS,
+        executed,
+        value: "v".into(),
+        position: at,
+        primary: false,
+        end: AttemptEnd::Served,
+    }
+}
+
+fn served() -> RequestEnd {
+    RequestEnd::Served("v".into())
+}
+
+/// The rules that these records break.
+fn broken(requests: &[RequestRecord], attempts: &[AttemptRecord]) -> Vec<&'static str> {
+    broken_in(&History::default(), requests, attempts)
+}
+
+fn broken_in(history: &History, requests: &[RequestRecord], attempts: &[AttemptRecord]) -> Vec<&'static str> {
+    let scenario = Scenario { rejects_stale: false, drain_grace: 500 * MS, proxies: 1, ..Scenario::draw(1) };
+    *history.requests.lock().unwrap() = requests.to_vec();
+    *history.attempts.lock().unwrap() = attempts.to_vec();
+    check(&scenario, history).iter().map(|finding| finding.rule).collect()
+}
+
+#[test]
+fn rules_on_requests_are_kept_or_broken_by_one_record() {
+    let at = SECOND + MS;
+    let error = |code: &str| RequestEnd::Error(code.into());
+    let told = |told_wait| AttemptRecord { told_wait, ..attempt(at, true) };
+    let old = |age| AttemptRecord { position: at - age, ..attempt(at, true) };
+    let cases: Vec<(&str, RequestRecord, Vec<AttemptRecord>, Vec<&str>)> = vec![
+        ("served", request(WRITE, served()), vec![attempt(at, true)], vec![]),
+        ("closed", request(WRITE, RequestEnd::Closed), vec![attempt(at, true)], vec!["lost"]),
+        ("silent", request(RECENT, RequestEnd::Silent), vec![], vec!["lost"]),
+        ("excused", request(WRITE, RequestEnd::Excused), vec![attempt(at, true)], vec![]),
+        ("failed after it ran", request(WRITE, error("08007")), vec![attempt(at, true)], vec![]),
+        ("rejected, not run", request(WRITE, error("53300")), vec![attempt(at, false)], vec![]),
+        ("rejected after it ran", request(WRITE, error("53300")), vec![attempt(at, true)], vec!["refused"]),
+        ("57P03 after it ran", request(WRITE, error("57P03")), vec![attempt(at, true)], vec!["refused"]),
+        ("read rejected after it ran", request(RECENT, error("53300")), vec![attempt(at, true)], vec![]),
+        (
+            "a second try of what did not run",
+            request(WRITE, served()),
+            vec![attempt(at, false), attempt(at, true)],
+            vec![],
+        ),
+        (
+            "a write twice",
+            request(WRITE, served()),
+            vec![attempt(at, true), attempt(at, true)],
+            vec!["duplicate"],
+        ),
+        ("a read twice", request(RECENT, served()), vec![attempt(at, true), attempt(at, true)], vec![]),
+        (
+            "another value",
+            request(WRITE, RequestEnd::Served("w".into())),
+            vec![attempt(at, true)],
+            vec!["value"],
+        ),
+        ("told what is left", request(WRITE, served()), vec![told(1100 * MS)], vec![]),
+        ("told more", request(WRITE, served()), vec![told(1200 * MS)], vec!["told wait"]),
+        ("fresh enough", request(RECENT, served()), vec![old(440 * MS)], vec![]),
+        ("stale", request(RECENT, served()), vec![old(500 * MS)], vec!["stale"]),
+        (
+            "just after it left",
+            request(RECENT, RequestEnd::Left),
+            vec![attempt(SECOND + 140 * MS, true)],
+            vec![],
+        ),
+        (
+            "long after it left",
+            request(RECENT, RequestEnd::Left),
+            vec![attempt(SECOND + 160 * MS, true)],
+            vec!["left"],
+        ),
+    ];
+    for (name, request, attempts, expected) in cases {
+        assert_eq!(broken(&[request], &attempts), expected, "{name}");
+    }
+}
+
+#[test]
+fn drains_bind_from_the_notice_until_the_member_is_back() {
+    let change = |at, revision, serving| ListChange { at, revision, member: 0, serving };
+    let cases = [
+        (SECOND + 580 * MS, vec![]),
+        (SECOND + 600 * MS, vec!["drain"]),
+        (4 * SECOND, vec!["drain"]),
+        (5 * SECOND + MS, vec![]),
+    ];
+    for (at, expected) in cases {
+        let history = History::default();
+        history.changes.lock().unwrap().extend([change(SECOND / 2, 41, false), change(5 * SECOND, 42, true)]);
+        history.notices.lock().unwrap().push(Notice { at: SECOND, proxy: 0, revision: 41 });
+        assert_eq!(broken_in(&history, &[], &[attempt(at, true)]), expected, "{at}");
+    }
+}
+
+#[test]
+fn slow_start_binds_over_the_sum_of_a_window() {
+    for (count, expected) in [(150, vec![]), (340, vec!["slow start"])] {
+        let history = History::default();
+        history.member_starts.lock().unwrap().push((SECOND, 0));
+        let attempts: Vec<_> = (0..count).map(|n| attempt(SECOND + n * SECOND / count, true)).collect();
+        assert_eq!(broken_in(&history, &[], &attempts), expected, "{count}");
+    }
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,49 @@
+//! The soak finds faults that are planted: its checker is worth what it finds.
+
+use liftrelay_soak::checker::check;
+use liftrelay_soak::history::SECOND;
+use liftrelay_soak::run::play;
+use liftrelay_soak::scenario::{Action, Scenario};
+use std::path::Path;
+
+/// Seeds whose lists are pushed and whose first member drains.
+const SEEDS: std::ops::Range<u64> = 1000..1100;
+
+/// The rules that a short run breaks, with this fault planted.
+fn broken_rules(seed: u64, planted: Option<Action>) -> Vec<&'static str> {
+    let mut scenario = Scenario { duration: 5 * SECOND, ..Scenario::draw(seed) };
+    scenario.actions = planted.map(|action| (2 * SECOND, action)).into_iter().collect();
+    scenario.actions.push((3 * SECOND, Action::Drain { member: 1 }));
+    let folder = std::env::temp_dir().join(format!("liftrelay-planted-{}-{seed}", std::process::id()));
+    let run = play(&scenario, Path::new(env!("CARGO_BIN_EXE_liftrelay")), &folder).unwrap();
+    let findings = check(&scenario, &run.history);
+    let mut rules: Vec<_> = findings.iter().map(|finding| finding.rule).collect();
+    rules.sort_unstable();
+    rules.dedup();
+    rules
+}
+
+#[test]
+fn planted_faults_are_found_and_a_run_without_one_has_no_finding() {
+    let mut seeds = SEEDS.filter(|seed| {
+        let scenario = Scenario::draw(*seed);
+        !scenario.on_request && scenario.group_size > 3 && scenario.leave_one_in == 0
+    });
+    let cases = [
+        (None, vec![]),
+        (Some(Action::PlantSwallowedChanges), vec!["drain"]),
+        (Some(Action::PlantMixedValues), vec!["value"]),
+        (Some(Action::PlantLongStop), vec!["lost"]),
+        (Some(Action::PlantCrash), vec!["process"]),
+    ];
+    let rows = cases.map(|(planted, expected)| {
+        let seed = seeds.next().unwrap();
+        let row = std::thread::spawn(move || broken_rules(seed, planted));
+        (planted, expected, row)
+    });
+    for (planted, expected, row) in rows {
+        let found = row.join().unwrap();
+        assert!(expected.iter().all(|rule| found.contains(rule)), "{planted:?}: {found:?}");
+        assert!(planted.is_some() || found.is_empty(), "without a fault: {found:?}");
+    }
+}
