Reload: a watch that finds no thread or descriptor is started later; other paths of the list

A SIGHUP that met a lack of threads or descriptors was given up, and once the old address had closed its calls no list arrived any more. Change: it is retried every 0.1 s. Beside it: a proxy whose list is pushed waits up to 1.5 s (0.4 s) for its first list before it says it is ready, as what the agent has counts from its first moment; signals are handled before the store starts; a member connection that is found dead is closed before the next one is opened (its second handle stayed open meanwhile, as with discovery); an unreadable list is asked for half as often.

--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -2,6 +2,9 @@
 
 use std::io::ErrorKind;
 
+/// The reason of responses that can't be used.
+const UNREADABLE: &str = "unreadable";
+
 /// Why a call to discovery, or a watch, ended.
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
@@ -47,6 +50,11 @@
 }
 
 impl DiscoveryError {
+    /// Whether the response arrived and can't be used.
+    pub fn is_unreadable(&self) -> bool {
+        self.reason() == UNREADABLE
+    }
+
     /// The reason in logs and metrics.
     pub fn reason(&self) -> &'static str {
         match self {
@@ -62,7 +70,7 @@
             | DiscoveryError::ChunkSize
             | DiscoveryError::NotAnObject
             | DiscoveryError::ListTooLong
-            | DiscoveryError::List(_) => "unreadable",
+            | DiscoveryError::List(_) => UNREADABLE,
         }
     }
 }
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -20,6 +20,8 @@
 const EVENT_CAPACITY: usize = 8;
 /// The most bytes that are read from a call at a time: the others get their turn.
 const READ_BYTES: usize = 16 * 1024;
+/// A delay after a response that can't be read is this many times as long.
+const UNREADABLE_FACTOR: u32 = 2;
 /// A wait is rounded up by this. Guards against waking just before something is due.
 const WAIT_MARGIN: Duration = Duration::from_micros(200);
 
@@ -263,7 +265,10 @@
             self.report_end(&call, &end);
             let now = Instant::now();
             self.note_unanswered(now);
-            self.retry_at = Some(now + self.backoff.next_delay(call.has_delivered));
+            let delay = self.backoff.next_delay(call.has_delivered);
+            // A list that can't be read is hardly better a moment later, and may be long.
+            let is_unreadable = matches!(&end, Err(error) if error.is_unreadable());
+            self.retry_at = Some(now + if is_unreadable { delay * UNREADABLE_FACTOR } else { delay });
         }
     }
 
--- a/src/net/member/connection.rs
+++ b/src/net/member/connection.rs
@@ -117,7 +117,7 @@
         // Guards against a connection that the member closed while it was idle: a write to it would count as
         // sent. It is reopened, and the job has not started.
         if state.is_unusable() {
-            state = ConnectionState::default();
+            state = self.discard(state);
         }
         if job.wants_liveness_check()
             && let Some(open) = &mut state.open
@@ -126,7 +126,7 @@
                 Liveness::Alive => {}
                 Liveness::Dead => {
                     self.notify(Input::StaleConnectionFound);
-                    state = ConnectionState::default();
+                    state = self.discard(state);
                 }
                 Liveness::WithdrawnBefore => {
                     events.push(Input::ConnectionIdle(self.link));
@@ -143,6 +143,14 @@
         reusable.then_some(state)
     }
 
+    /// Closes a connection that can't be used; returns the state of one not opened yet. Guards against a
+    /// socket that stays open, and that nobody reads, while the next one is being opened.
+    fn discard(&self, state: ConnectionState) -> ConnectionState {
+        *self.cut_target() = None;
+        drop(state);
+        ConnectionState::default()
+    }
+
     fn check_liveness(&self, open: &mut OpenConnection, job: &Job) -> Liveness {
         if !job.state.start_preparing() {
             return Liveness::WithdrawnBefore;
--- a/src/server/endpoint_watch.rs
+++ b/src/server/endpoint_watch.rs
@@ -12,6 +12,17 @@
 use crate::store::Change;
 use std::net::SocketAddr;
 
+/// A watch that could not be started is started again after this.
+const RELOAD_RETRY_DELAY: Micros = 100_000;
+
+/// A watch that could not be started.
+#[derive(Clone, Copy)]
+pub(super) struct ReloadRetry {
+    /// When it is to be started again.
+    pub(super) at: Micros,
+    address: SocketAddr,
+}
+
 /// The watches on the endpoint list.
 pub(super) struct EndpointWatches {
     current: Watch,
@@ -115,7 +126,7 @@
     }
 
     /// Switches to the configured `discovery` address; all other settings apply from the next start.
-    pub(super) fn reload(&mut self, config: Result<Config, ConfigError>) {
+    pub(super) fn reload(&mut self, now: Micros, config: Result<Config, ConfigError>) {
         let address = match config {
             Ok(config) => config.discovery,
             Err(error) => {
@@ -125,15 +136,35 @@
                 return;
             }
         };
+        self.reload_retry = None;
         if address == self.endpoint_watches.current.address {
             tracing::info!(
                 target: LOG_TARGET, "configuration reloaded: discovery address unchanged"
             );
             return;
         }
+        self.watch_address(now, address);
+    }
+
+    /// Starts a watch at this address, now or as soon as there are descriptors and a thread for it. Guards
+    /// against a crowd that uses them up just then: the old address closes its calls, and no list would ever
+    /// arrive again.
+    fn watch_address(&mut self, now: Micros, address: SocketAddr) {
         if let Err(error) = self.endpoint_watches.replace(address, self.seed, self.messages.clone()) {
-            let message = "reload failed: no thread for the new discovery watch";
-            tracing::error!(target: LOG_TARGET, %error, "{message}");
+            tracing::error!(
+                target: LOG_TARGET, %error, discovery = %address, "no discovery watch: to be retried"
+            );
+            self.reload_retry = Some(ReloadRetry { at: now + RELOAD_RETRY_DELAY, address });
+        }
+    }
+
+    /// Starts the watch that could not be started before, if it is time.
+    pub(super) fn retry_reload_if_due(&mut self, now: Micros) {
+        if let Some(ReloadRetry { at, address }) = self.reload_retry
+            && at <= now
+        {
+            self.reload_retry = None;
+            self.watch_address(now, address);
         }
     }
 }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -39,9 +39,10 @@
     fn next_due_at(&self) -> Option<Micros> {
         let idle_close_at = self.next_idle_close().map(|(close_at, _)| close_at);
         let shutdown_check_at = self.shutdown.next_check_at(self.clock.now());
-        let times =
-            [self.reducer.next_timer_at(), self.ready_at, self.drain_at, idle_close_at, shutdown_check_at];
-        times.into_iter().flatten().min()
+        let reload_at = self.reload_retry.map(|retry| retry.at);
+        let service_times = [self.ready_at, self.drain_at, reload_at];
+        let times = [self.reducer.next_timer_at(), idle_close_at, shutdown_check_at];
+        times.into_iter().chain(service_times).flatten().min()
     }
 
     fn handle_due_times(&mut self, now: Micros) {
@@ -51,6 +52,7 @@
         if self.ready_at.is_some_and(|ready_at| ready_at <= now) {
             self.become_ready(now);
         }
+        self.retry_reload_if_due(now);
         self.close_kept_connections(now);
         self.drain_if_due(now);
     }
@@ -64,7 +66,7 @@
                 self.step_reducer(now, input);
             }
             Message::Discovery(event) => self.handle_watch_event(now, event),
-            Message::Reload(config) => self.reload(*config),
+            Message::Reload(config) => self.reload(now, *config),
             Message::Stored(list) => self.handle_stored_list(now, &list),
             Message::Accepted(id, handle) => self.accept_client(now, id, handle),
             Message::Client(id, event) => {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -27,7 +27,7 @@
 use crate::store::Store;
 use crate::{Micros, Settings};
 use crossbeam_channel::Receiver;
-use endpoint_watch::EndpointWatches;
+use endpoint_watch::{EndpointWatches, ReloadRetry};
 use event_log::EventLog;
 use fronts::Fronts;
 use shutdown::Shutdown;
@@ -59,6 +59,8 @@
     max_descriptors: usize,
     seed: u64,
     endpoint_watches: EndpointWatches,
+    /// The watch that a reload could not start yet.
+    reload_retry: Option<ReloadRetry>,
     /// When the proxy is ready without an endpoint update; `None` once it is ready.
     ready_at: Option<Micros>,
     /// When the proxy, out of service, starts to close connections between requests.
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -1,17 +1,25 @@
 //! Readiness, and the service state that operators set.
 
 use super::{LOG_TARGET, Server};
-use crate::Micros;
 use crate::core::{Counters, RecordKind};
 use crate::front::ServiceState;
 use crate::net::admin::{AdminCall, AdminRequest, AdminResponse};
+use crate::{Micros, Settings};
 
 /// Without an endpoint update, the proxy is ready this long after its start.
-pub(super) const MAX_STARTUP_WAIT: Micros = 400_000;
+const MAX_STARTUP_WAIT: Micros = 400_000;
+/// The same where an agent pushes the list, which answers at once unless discovery is down. What it has
+/// counts from the first moment of a process: one that is slow to answer is worth waiting for.
+const MAX_STARTUP_WAIT_FOR_AGENT: Micros = 1_500_000;
 /// Out of service, connections are closed between requests after this delay: the front layer polls ten times
 /// per second, and keeps sending for 0.2 s after a negative answer.
 const OUT_OF_SERVICE_CLOSE_DELAY: Micros = 1_000_000;
 
+/// How long to wait for the first endpoint update before the proxy is ready without one.
+pub(super) fn max_startup_wait(settings: &Settings) -> Micros {
+    if settings.list_on_request { MAX_STARTUP_WAIT } else { MAX_STARTUP_WAIT_FOR_AGENT }
+}
+
 impl Server {
     /// Handles an operator's request.
     pub(super) fn handle_admin_call(&mut self, now: Micros, call: AdminCall) {
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -4,7 +4,7 @@
 use super::endpoint_watch::EndpointWatches;
 use super::event_log::{EventLog, ListSource};
 use super::fronts::Fronts;
-use super::service::MAX_STARTUP_WAIT;
+use super::service::max_startup_wait;
 use super::shutdown::Shutdown;
 use super::{LOG_TARGET, Message, Messages, Server, signals};
 use crate::Settings;
@@ -50,6 +50,8 @@
     let extended_listener = extended.as_ref().map(|listen| TcpListener::bind(listen.listen)).transpose()?;
     let clock = Clock::start();
     let (messages, inbox) = bounded(MESSAGE_QUEUE_CAPACITY);
+    // Guards against a signal that comes early and ends the process in place of being handled.
+    signals::start(messages.clone())?;
     let store = start_store(config, replicas, messages.clone())?;
     let listen_address = listener.local_addr()?;
     let extended_address = extended_listener.as_ref().map(TcpListener::local_addr).transpose()?;
@@ -59,10 +61,9 @@
         Server::build(config, clock, store, messages.clone(), listeners, extended)?;
     server.load_configured_state(config);
     if let Some(address) = config.admin_listen {
-        let address = admin::listen(address, server.settings.clone(), admin_calls(messages.clone()))?;
+        let address = admin::listen(address, server.settings.clone(), admin_calls(messages))?;
         tracing::info!(target: LOG_TARGET, ops = %address, "admin listener started");
     }
-    signals::start(messages)?;
     log_addresses(config, listen_address, extended_address);
     spawn("clients", move || client_reactor.run())?;
     server.run(&inbox);
@@ -168,7 +169,7 @@
             max_clients: budget.clients,
             max_descriptors: config.max_descriptors,
             seed: config.seed,
-            ready_at: Some(clock.now() + MAX_STARTUP_WAIT),
+            ready_at: Some(clock.now() + max_startup_wait(&config.settings)),
             endpoint_watches: EndpointWatches::start(
                 config.discovery,
                 discovery_kind(&config.settings),
@@ -176,6 +177,7 @@
                 config.seed,
                 messages.clone(),
             )?,
+            reload_retry: None,
             drain_at: None,
             shutdown: Shutdown::new(inherited_listener),
             event_log: EventLog::default(),
--- a/tests/proxy/races/discovery.rs
+++ b/tests/proxy/races/discovery.rs
@@ -165,3 +165,19 @@
         let _ = client.read_reply_until(|tag| tag == b'E' || tag == b'C');
     }
 }
+
+/// Guards against a reload that comes while the system has no thread for its watch: it was given up, and once
+/// the old address had closed its calls no list ever arrived again.
+#[test]
+fn reload_that_finds_no_thread_is_carried_out_later() {
+    let (old, new) = (MockMember::start(true), MockMember::start(true));
+    let faults = Faults::none();
+    let proxy = Proxy::start_with_faults(&[&old], "exec \"$0\" serve", &faults);
+    let new_discovery = ScriptedDiscovery::start();
+    faults.set("pthread_create for_ms=400 error=EAGAIN");
+    proxy.reload(&configuration_at(new_discovery.address));
+    let _watch = new_discovery.answer_until_watch(&serving_list(2, &[(7, &new)]));
+    proxy.discovery.wait_for_closed_watch();
+    assert_eq!(proxy.connect().query(&write_query(1, 900)), SERVED);
+    assert_eq!(new.executed_count(), 1, "the new address counts");
+}
