--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -15,6 +15,8 @@
 pub const LATE_LIMIT: Micros = SECOND / 2;
 /// A client sends a request again on a new connection this often, if closes crossed it.
 const MAX_CROSSINGS: u32 = 4;
+/// The class of pipelined requests: reads from any member.
+const PIPELINED_CLASS: usize = 1;
 /// How long a client waits before it looks for an open front again.
 const FRONT_STEP: Duration = Duration::from_millis(20);
 /// A bad client has to get an error or a close within this.
@@ -75,6 +77,16 @@
 
     fn draw_request(&self, draws: &mut Draws, session: u64, last_write_ms: u64) -> Attempted {
         let class = draws.pick(&[0, 0, 1, 1, 1, 2, 2, 3]);
+        self.draw_request_of(draws, class, session, last_write_ms)
+    }
+
+    fn draw_request_of(
+        &self,
+        draws: &mut Draws,
+        class: usize,
+        session: u64,
+        last_write_ms: u64,
+    ) -> Attempted {
         let kind = CLASSES[class].kind;
         let id = (self.seed << 32) | self.last_id.fetch_add(1, Ordering::SeqCst);
         let wait = draws.between(CLASSES[class].deadline * 2 / 5, CLASSES[class].deadline) / MS * MS;
@@ -194,6 +206,38 @@
         self.history.requests.lock().unwrap().push(record);
     }
 
+    /// Runs a client that sends several reads at once: the replies have to come in their order.
+    pub fn run_pipelining_client(&self, number: u64, proxy_index: usize) {
+        let mut draws = Draws::new(self.seed, 9000 + number);
+        while !self.is_over.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(draws.between(100, 700)));
+            let proxy = &self.proxies[proxy_index];
+            let Some(mut connection) = self.connect(proxy) else { continue };
+            let requests: Vec<Attempted> = (0..draws.between(2, 6))
+                .map(|_| self.draw_request_of(&mut draws, PIPELINED_CLASS, number, 0))
+                .collect();
+            let bytes: Vec<u8> = requests.iter().flat_map(|request| query(&request.text)).collect();
+            if connection.stream.write_all(&bytes).is_err() {
+                continue;
+            }
+            let sent_at = self.clock.now();
+            for request in &requests {
+                let end = self.await_reply(&mut connection, sent_at + request.wait + LATE_LIMIT);
+                let is_closed = end == RequestEnd::Closed;
+                // A close that crossed the commands, or a process that was killed.
+                let is_excused = proxy.was_killed_unwarned(connection.generation);
+                if is_closed && (is_excused || !self.was_forwarded(request.id)) {
+                    break;
+                }
+                let may_follow = !is_closed && end != RequestEnd::Silent;
+                self.record(request, proxy_index, sent_at, end);
+                if !may_follow {
+                    break;
+                }
+            }
+        }
+    }
+
     /// Runs a client that sends what can't be used, or stops within a message, and stays.
     pub fn run_bad_client(&self, number: u64, proxy_index: usize) {
         let mut draws = Draws::new(self.seed, 5000 + number);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -172,6 +172,10 @@
                 let (clients, number) = (clients.clone(), (proxy * 1000 + client) as u64);
                 self.spawn(move || clients.run_client(number, proxy, THINK_TIME));
             }
+            if self.scenario.pipelines {
+                let (clients, number) = (clients.clone(), proxy as u64);
+                self.spawn(move || clients.run_pipelining_client(number, proxy));
+            }
             for client in 0..self.scenario.bad_clients {
                 let (clients, number) = (clients.clone(), (proxy * 1000 + client) as u64);
                 self.spawn(move || clients.run_bad_client(number, proxy));
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -111,6 +111,8 @@
     pub clients: usize,
     /// Bad clients of each proxy.
     pub bad_clients: usize,
+    /// A client of each proxy sends several requests at once.
+    pub pipelines: bool,
     /// One of so many requests is left early; 0 for none.
     pub leave_one_in: u64,
     /// How long it lasts.
@@ -134,6 +136,7 @@
             sockets: draws.pick(&[256, 512, 1024]) as usize,
             clients: draws.between(12, 24) as usize,
             bad_clients: draws.below(3) as usize,
+            pipelines: seed.is_multiple_of(2),
             leave_one_in: draws.pick(&[0, 12, 40]),
             duration: 0,
             actions: Vec::new(),
