--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -15,6 +15,8 @@
 const TOLD_WAIT_SLACK: Micros = 150 * MS;
 /// An emulator on a busy machine sees bytes this much late.
 const EMULATOR_SLACK: Micros = 40 * MS;
+/// A thread that was measured met a stall; others may have met one that is so much longer.
+const STALL_FACTOR: Micros = 2;
 /// From this many allowed requests on, the slack of slow start is 2 roots and 2 requests.
 const MANY_REQUESTS: f64 = 30.0;
 
@@ -29,6 +31,25 @@
     pub request: Option<u64>,
     /// What happened.
     pub text: String,
+    /// For a rule on time: by how much its limit was passed.
+    pub excess: Option<Micros>,
+    /// The machine kept the emulator waiting for so long that this may be the emulator's own delay.
+    pub unclear: bool,
+}
+
+impl Finding {
+    fn new(rule: &'static str, at: Micros, text: String) -> Finding {
+        Finding { rule, at, request: None, text, excess: None, unclear: false }
+    }
+
+    fn of_request(rule: &'static str, at: Micros, request: u64, text: String) -> Finding {
+        Finding { request: Some(request), ..Finding::new(rule, at, text) }
+    }
+
+    /// The limit of this rule was passed by so much.
+    fn beyond(self, excess: Micros) -> Finding {
+        Finding { excess: Some(excess), ..self }
+    }
 }
 
 /// The records of a run, sorted for the rules.
@@ -53,9 +74,13 @@
     check_slow_start(history, &mut findings);
     for incident in history.incidents.lock().unwrap().iter() {
         let text = format!("n{}: {}", incident.proxy, incident.text);
-        findings.push(Finding { rule: "process", at: incident.at, request: None, text });
+        findings.push(Finding::new("process", incident.at, text));
+    }
+    for finding in &mut findings {
+        let stall = history.stall_around(finding.at);
+        finding.unclear = finding.excess.is_some_and(|excess| excess <= STALL_FACTOR * stall);
     }
-    findings.sort_by_key(|finding| finding.at);
+    findings.sort_by_key(|finding| (finding.unclear, finding.at));
     findings
 }
 
@@ -66,9 +91,8 @@
     scenario: &Scenario,
     findings: &mut Vec<Finding>,
 ) {
-    let mut find = |rule, text: String| {
-        findings.push(Finding { rule, at: request.ended_at, request: Some(request.id), text });
-    };
+    let ended_at = request.ended_at;
+    let mut find = |rule, text: String| findings.push(Finding::of_request(rule, ended_at, request.id, text));
     let kind = CLASSES[request.class].kind;
     let executions = attempts.iter().filter(|attempt| attempt.executed).count();
     match &request.end {
@@ -89,19 +113,27 @@
     if kind.is_write() && executions > 1 {
         find("duplicate", format!("a write ran {executions} times"));
     }
-    let deadline = request.sent_at + request.wait;
     for attempt in attempts {
-        if request.end == RequestEnd::Left && attempt.at > request.ended_at + LEFT_LIMIT + EMULATOR_SLACK {
-            find(
-                "left",
-                format!("an attempt began {} ms after its client left", (attempt.at - request.ended_at) / MS),
-            );
-        }
-        let left = deadline.saturating_sub(attempt.at);
-        if attempt.told_wait > left + TOLD_WAIT_SLACK + EMULATOR_SLACK {
-            find("told wait", format!("told {} ms with {} ms left", attempt.told_wait / MS, left / MS));
-        }
+        findings.extend(check_attempt_times(request, attempt));
+    }
+}
+
+/// The rules on when an attempt begins, and on what its member is told.
+fn check_attempt_times(request: &RequestRecord, attempt: &AttemptRecord) -> Option<Finding> {
+    let left_for = attempt.at.saturating_sub(request.ended_at);
+    let limit = LEFT_LIMIT + EMULATOR_SLACK;
+    if request.end == RequestEnd::Left && left_for > limit {
+        let text = format!("an attempt began {} ms after its client left", left_for / MS);
+        return Some(Finding::of_request("left", attempt.at, request.id, text).beyond(left_for - limit));
+    }
+    let time_left = (request.sent_at + request.wait).saturating_sub(attempt.at);
+    let limit = time_left + TOLD_WAIT_SLACK + EMULATOR_SLACK;
+    if attempt.told_wait > limit {
+        let text = format!("told {} ms with {} ms left", attempt.told_wait / MS, time_left / MS);
+        let excess = attempt.told_wait - limit;
+        return Some(Finding::of_request("told wait", attempt.at, request.id, text).beyond(excess));
     }
+    None
 }
 
 /// Whether an SQLSTATE promises that nothing has run.
@@ -155,7 +187,7 @@
                 (attempt.at - told) / MS,
                 attempt.proxy
             );
-            findings.push(Finding { rule: "drain", at: attempt.at, request: Some(attempt.id), text });
+            findings.push(Finding::of_request("drain", attempt.at, attempt.id, text).beyond(at - from));
         }
     }
 }
@@ -181,7 +213,7 @@
                     "cold {} got {count} requests where {allowed:.0} are allowed",
                     member_name(member)
                 );
-                findings.push(Finding { rule: "slow start", at: *at, request: None, text });
+                findings.push(Finding::new("slow start", *at, text));
                 break;
             }
         }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -36,6 +36,8 @@
     pub groups: usize,
     /// The seed of the run.
     pub seed: u64,
+    /// The part of the classes' deadlines that clients wait at most.
+    pub deadline_percent: u64,
     /// One of so many requests is left early; 0 for none.
     pub leave_one_in: u64,
     /// The next id.
@@ -76,7 +78,7 @@
     }
 
     fn draw_request(&self, draws: &mut Draws, session: u64, last_write_ms: u64) -> Attempted {
-        let class = draws.pick(&[0, 0, 1, 1, 1, 2, 2, 3]);
+        let class = draws.pick(&[0, 0, 1, 1, 1, 2, 2, 3, 4]);
         self.draw_request_of(draws, class, session, last_write_ms)
     }
 
@@ -89,9 +91,13 @@
     ) -> Attempted {
         let kind = CLASSES[class].kind;
         let id = (self.seed << 32) | self.last_id.fetch_add(1, Ordering::SeqCst);
-        let wait = draws.between(CLASSES[class].deadline * 2 / 5, CLASSES[class].deadline) / MS * MS;
+        let deadline = CLASSES[class].deadline * self.deadline_percent / 100;
+        let wait = draws.between(deadline * 2 / 5, deadline) / MS * MS;
         let group = session % self.groups as u64;
         let mut comment = format!("id={id:016x},c={},d={},cluster={group}", CLASSES[class].name, wait / MS);
+        if kind == ClassKind::Keyed {
+            comment.push_str(&format!(",k=k{id:016x}"));
+        }
         if kind == ClassKind::Own && last_write_ms > 0 {
             comment.push_str(&format!(",after={last_write_ms}"));
         }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -1,7 +1,8 @@
 //! What clients, members, discovery and the processes saw: the rules are checked on these records alone.
 
-use std::sync::Mutex;
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// Microseconds since the start of the run.
 pub type Micros = u64;
@@ -26,6 +27,19 @@
     }
 }
 
+/// What all emulators of a run share.
+#[derive(Clone)]
+pub struct RunContext {
+    /// The seed.
+    pub seed: u64,
+    /// The records.
+    pub history: Arc<History>,
+    /// The clock.
+    pub clock: RunClock,
+    /// The run is over.
+    pub is_over: Arc<AtomicBool>,
+}
+
 /// How a request ended for its client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequestEnd {
@@ -137,6 +151,26 @@
     pub text: String,
 }
 
+/// A thread that sleeps for this ...
+const STALL_STEP: Duration = Duration::from_millis(4);
+/// ... and wakes this much later has met a stall.
+const MIN_STALL: Micros = 15 * MS;
+/// A stall explains what is found this long before or after it.
+const STALL_VICINITY: Micros = SECOND;
+
+/// Records the stalls of the machine until the run is over.
+pub fn watch_for_stalls(run: &RunContext) {
+    while !run.is_over.load(Ordering::SeqCst) {
+        let before = run.clock.now();
+        std::thread::sleep(STALL_STEP);
+        let now = run.clock.now();
+        let late = now.saturating_sub(before + STALL_STEP.as_micros() as Micros);
+        if late >= MIN_STALL {
+            run.history.stalls.lock().unwrap().push((now, late));
+        }
+    }
+}
+
 /// All records of a run.
 #[derive(Default)]
 pub struct History {
@@ -150,6 +184,8 @@
     pub notices: Mutex<Vec<Notice>>,
     /// Starts of members: when, and the index of the member.
     pub member_starts: Mutex<Vec<(Micros, usize)>>,
+    /// When a thread of the emulator that wanted to run did not, and for how long.
+    pub stalls: Mutex<Vec<(Micros, Micros)>>,
     /// Findings made while the run was played.
     pub incidents: Mutex<Vec<Incident>>,
     /// What was done to the processes and to discovery, for the report.
@@ -162,6 +198,13 @@
         self.events.lock().unwrap().push((at, text));
     }
 
+    /// How long the machine kept the emulator waiting around this time.
+    pub fn stall_around(&self, at: Micros) -> Micros {
+        let stalls = self.stalls.lock().unwrap();
+        let near = stalls.iter().filter(|(when, _)| when.abs_diff(at) <= STALL_VICINITY);
+        near.map(|(_, length)| *length).max().unwrap_or(0)
+    }
+
     /// Records a finding.
     pub fn incident(&self, at: Micros, proxy: usize, text: impl Into<String>) {
         self.incidents.lock().unwrap().push(Incident { at, proxy, text: text.into() });
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use liftrelay_soak::checker::{check, summary};
 use liftrelay_soak::history::SECOND;
-use liftrelay_soak::report::report;
+use liftrelay_soak::report::{report, timeline};
 use liftrelay_soak::run::play;
 use liftrelay_soak::scenario::{Action, Scenario};
 use std::path::PathBuf;
@@ -23,6 +23,9 @@
     /// runs side by side (2 unless given)
     #[argh(option, default = "2")]
     jobs: usize,
+    /// show what was done and which requests were not served, second by second
+    #[argh(switch)]
+    show: bool,
     /// a fault to plant, which the checker has to find: swallowed-changes, mixed-values, long-stop, crash
     #[argh(option, from_str_fn(parse_plant))]
     plant: Option<Action>,
@@ -88,10 +91,13 @@
         Ok(run) => {
             let findings = check(&scenario, &run.history);
             println!("seed {seed}: {}", summary(&run.history));
+            if arguments.show {
+                print!("{}", timeline(&run.history));
+            }
             if !findings.is_empty() {
                 print!("{}", report(&scenario, &run.history, &run.proxies, &findings));
             }
-            findings.is_empty()
+            findings.iter().all(|finding| finding.unclear)
         }
         Err(error) => {
             println!("seed {seed}: the run could not be played: {error}");
--- a/soak/src/member.rs
+++ b/soak/src/member.rs
@@ -1,9 +1,10 @@
 //! Members: servers of simple queries with a role, a lag, a capacity, and faults.
 
-use crate::history::{AttemptEnd, AttemptRecord, History, MS, Micros, RunClock, SECOND};
+use crate::history::{AttemptEnd, AttemptRecord, MS, Micros, RunContext, SECOND};
 use crate::random::Draws;
-use crate::scenario::{COLD_FROM, COLD_TIME};
+use crate::scenario::{COLD_FROM, COLD_TIME, KEY_WINDOW};
 use crate::wire::{MemberReply, message, read_body, read_message};
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,6 +16,8 @@
 /// How long a member that hangs keeps a connection.
 const MAX_HANG: Duration = Duration::from_secs(30);
 
+/// A member that closes idle connections does so after this.
+const IDLE_TIME: Duration = Duration::from_millis(120);
 /// Requests that a member works on at a time.
 const CORES: u32 = 2;
 /// The work of a request on a warm member.
@@ -41,6 +44,8 @@
     SlowToConnect,
     /// It answers with errors after running requests.
     Errors,
+    /// It closes connections that are idle for a moment.
+    ClosesIdle,
     /// Its process is gone: connections are refused.
     Down,
 }
@@ -69,22 +74,21 @@
     fault: Mutex<MemberFault>,
     /// When it last started over: connections from before are closed.
     started_at: AtomicU64,
-    history: Arc<History>,
-    clock: RunClock,
-    is_over: Arc<AtomicBool>,
-    seed: u64,
+    run: RunContext,
+    keys: Arc<SeenKeys>,
 }
 
+/// The idempotency keys that a group has seen, with the value of the first run and its time.
+pub type SeenKeys = Mutex<HashMap<String, (Micros, String)>>;
+
 impl Member {
     /// A member that is not listening yet.
     pub fn new(
         index: usize,
         group: usize,
         rejects_stale: bool,
-        seed: u64,
-        history: Arc<History>,
-        clock: RunClock,
-        is_over: Arc<AtomicBool>,
+        run: RunContext,
+        keys: Arc<SeenKeys>,
     ) -> Member {
         Member {
             index,
@@ -100,10 +104,8 @@
             core_free: Condvar::new(),
             fault: Mutex::new(MemberFault::None),
             started_at: AtomicU64::new(0),
-            history,
-            clock,
-            is_over,
-            seed,
+            run,
+            keys,
         }
     }
 
@@ -116,7 +118,7 @@
     pub fn set_fault(&self, fault: MemberFault) {
         *self.fault.lock().unwrap() = fault;
         if fault == MemberFault::Down {
-            self.started_at.store(self.clock.now(), Ordering::SeqCst);
+            self.started_at.store(self.run.clock.now(), Ordering::SeqCst);
         }
     }
 
@@ -131,7 +133,7 @@
 
     fn accept(self: Arc<Self>, listener: TcpListener, address: SocketAddr, proxy: usize) {
         let mut listener = Some(listener);
-        while !self.is_over.load(Ordering::SeqCst) {
+        while !self.run.is_over.load(Ordering::SeqCst) {
             if self.fault() == MemberFault::Down {
                 listener = None;
             } else if listener.is_none() {
@@ -152,14 +154,16 @@
         stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(MAX_HANG))?;
-        let opened_at = self.clock.now();
-        let mut draws = Draws::new(self.seed, opened_at);
+        let opened_at = self.run.clock.now();
+        let mut draws = Draws::new(self.run.seed, opened_at);
         read_body(&mut stream)?;
         if self.fault() == MemberFault::SlowToConnect {
             std::thread::sleep(Duration::from_millis(draws.between(50, 1500)));
         }
         stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
         loop {
+            let idle = if self.fault() == MemberFault::ClosesIdle { IDLE_TIME } else { MAX_HANG };
+            stream.set_read_timeout(Some(idle))?;
             let (tag, body) = read_message(&mut stream)?;
             if tag != b'Q' || opened_at < self.started_at.load(Ordering::SeqCst) {
                 return Ok(());
@@ -178,7 +182,7 @@
     /// How far it has applied the log: that never moves back.
     fn position(&self) -> Micros {
         let lag = if self.primary.load(Ordering::SeqCst) { 0 } else { self.lag.load(Ordering::SeqCst) };
-        let position = self.clock.now().saturating_sub(lag);
+        let position = self.run.clock.now().saturating_sub(lag);
         self.position.fetch_max(position, Ordering::SeqCst).max(position)
     }
 
@@ -200,14 +204,14 @@
     fn warmth(&self) -> f64 {
         match self.cold_since.load(Ordering::SeqCst) {
             0 => 1.0,
-            started => warmth(self.clock.now().saturating_sub(started)),
+            started => warmth(self.run.clock.now().saturating_sub(started)),
         }
     }
 
     /// This position of the run as a Unix time in milliseconds.
     fn unix_ms(&self, position: Micros) -> u64 {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        now - self.clock.now().saturating_sub(position) / MS
+        now - self.run.clock.now().saturating_sub(position) / MS
     }
 
     fn answer_health_check(&self, stream: &mut TcpStream) -> std::io::Result<()> {
@@ -228,13 +232,23 @@
         text: &str,
         draws: &mut Draws,
     ) -> std::io::Result<bool> {
-        let at = self.clock.now();
+        let at = self.run.clock.now();
         let id = u64::from_str_radix(field(text, "id=").unwrap_or("0"), 16).unwrap_or(0);
         let told_wait = field(text, "d=").and_then(|digits| digits.parse::<u64>().ok()).unwrap_or(0) * MS;
         let primary = self.primary.load(Ordering::SeqCst);
         let (position, fault) = (self.position(), self.fault());
         let (end, executed) = self.outcome(text, primary, position, fault, draws);
         let mut value = format!("v{id:016x}-{}-{at}", self.index);
+        let mut executed = executed;
+        if let (true, Some(key)) = (executed, field(text, "k=")) {
+            let mut keys = self.keys.lock().unwrap();
+            let (first_at, first_value) = keys.entry(key.into()).or_insert((at, value.clone())).clone();
+            // A repeat within the window is dropped: it is answered as the first one was.
+            if first_at != at && at < first_at + KEY_WINDOW {
+                executed = false;
+                value = first_value;
+            }
+        }
         if self.mixes_values.load(Ordering::SeqCst) && end == AttemptEnd::Served {
             value = format!("v{:016x}-0-0", id ^ 1);
         }
@@ -253,7 +267,7 @@
             primary,
             end,
         };
-        self.history.attempts.lock().unwrap().push(recorded);
+        self.run.history.attempts.lock().unwrap().push(recorded);
         let reply = |result| MemberReply { result, primary, position_ms: self.unix_ms(position) };
         match end {
             AttemptEnd::Served => reply(Ok(&value)).write(stream)?,
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -2,9 +2,10 @@
 
 use crate::checker::Finding;
 use crate::discovery::member_name;
-use crate::history::{History, Micros, SECOND};
+use crate::history::{History, Micros, RequestEnd, SECOND};
 use crate::process::Proxy;
 use crate::scenario::{CLASSES, Scenario};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
 
@@ -37,7 +38,9 @@
         drain_grace / 1000
     );
     for finding in findings.iter().take(SHOWN_FINDINGS) {
-        let _ = writeln!(text, "  {} {}: {}", seconds(finding.at), finding.rule, finding.text);
+        let unclear = if finding.unclear { " (unclear: the machine stalled)" } else { "" };
+        let (at, rule) = (seconds(finding.at), finding.rule);
+        let _ = writeln!(text, "  {at} {rule}{unclear}: {}", finding.text);
         if let Some(id) = finding.request {
             show_request(&mut text, history, proxies, id);
         }
@@ -103,3 +106,21 @@
         }
     }
 }
+
+/// What was done, and the errors of each second by proxy and SQLSTATE.
+pub fn timeline(history: &History) -> String {
+    let mut lines: Vec<(Micros, String)> = history.events.lock().unwrap().clone();
+    let mut errors: BTreeMap<(Micros, usize, String), usize> = BTreeMap::new();
+    for request in history.requests.lock().unwrap().iter() {
+        if let RequestEnd::Error(code) = &request.end {
+            let second = request.ended_at / SECOND * SECOND;
+            *errors.entry((second, request.proxy, code.clone())).or_default() += 1;
+        }
+    }
+    let error_lines = errors.into_iter().map(|((second, proxy, code), count)| {
+        (second, format!("n{proxy} answered {count} requests with {code} in this second"))
+    });
+    lines.extend(error_lines);
+    lines.sort();
+    lines.into_iter().map(|(at, line)| format!("  {} {line}\n", seconds(at))).collect()
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -2,8 +2,8 @@
 
 use crate::client::Clients;
 use crate::discovery::{Agent, AgentMode, EndpointDirectory, ListedMember};
-use crate::history::{History, MS, Micros, RunClock};
-use crate::member::Member;
+use crate::history::{History, MS, Micros, RunClock, RunContext, watch_for_stalls};
+use crate::member::{Member, SeenKeys};
 use crate::notices::Notices;
 use crate::process::Proxy;
 use crate::scenario::Scenario;
@@ -80,11 +80,13 @@
     fn prepare(scenario: &'a Scenario, program: &Path, folder: &Path) -> std::io::Result<Run<'a>> {
         let (history, clock) = (Arc::new(History::default()), RunClock::start());
         let is_over = Arc::new(AtomicBool::new(false));
+        let keys: Vec<_> = (0..scenario.groups).map(|_| Arc::default()).collect();
+        let context =
+            RunContext { seed: scenario.seed, history: history.clone(), clock, is_over: is_over.clone() };
         let make_member = |index: usize| {
             let group = index / scenario.group_size;
-            let (history, is_over) = (history.clone(), is_over.clone());
-            let rejects = scenario.rejects_stale;
-            Arc::new(Member::new(index, group, rejects, scenario.seed, history, clock, is_over))
+            let keys: Arc<SeenKeys> = Arc::clone(&keys[group]);
+            Arc::new(Member::new(index, group, scenario.rejects_stale, context.clone(), keys))
         };
         let members: Vec<_> = (0..scenario.members()).map(make_member).collect();
         for group in 0..scenario.groups {
@@ -164,6 +166,7 @@
             is_over: self.is_over.clone(),
             groups: self.scenario.groups,
             seed: self.scenario.seed,
+            deadline_percent: self.scenario.deadline_percent,
             leave_one_in: self.scenario.leave_one_in,
             last_id: AtomicU64::new(1),
         });
@@ -181,10 +184,17 @@
                 self.spawn(move || clients.run_bad_client(number, proxy));
             }
         }
+        let context = self.context();
+        self.spawn(move || watch_for_stalls(&context));
         self.clients = Some(clients);
         Ok(())
     }
 
+    fn context(&self) -> RunContext {
+        let (history, is_over) = (self.history.clone(), self.is_over.clone());
+        RunContext { seed: self.scenario.seed, history, clock: self.clock, is_over }
+    }
+
     pub(crate) fn spawn(&self, run: impl FnOnce() + Send + 'static) {
         self.threads.lock().unwrap().push(std::thread::spawn(run));
     }
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -118,6 +118,20 @@
     }
 }
 
+#[test]
+fn a_limit_that_a_stall_of_the_machine_explains_is_unclear() {
+    for (stall, expected) in [(0, false), (20 * MS, false), (120 * MS, true)] {
+        let history = History::default();
+        history.stalls.lock().unwrap().push((SECOND, stall));
+        let told = AttemptRecord { told_wait: 1200 * MS, ..attempt(SECOND + 150 * MS, true) };
+        history.requests.lock().unwrap().push(request(WRITE, served()));
+        history.attempts.lock().unwrap().push(told);
+        let findings = check(&Scenario::draw(1), &history);
+        let unclear: Vec<_> = findings.iter().map(|finding| (finding.rule, finding.unclear)).collect();
+        assert_eq!(unclear, [("told wait", expected)], "{stall}");
+    }
+}
+
 #[test]
 fn slow_start_binds_over_the_sum_of_a_window() {
     for (count, expected) in [(150, vec![]), (340, vec!["slow start"])] {
