--- a/src/net/discovery/http_response.rs
+++ b/src/net/discovery/http_response.rs
@@ -116,7 +116,11 @@
             self.buffer.remove(0);
         }
         let parsed = httparse::parse_chunk_size(&self.buffer).map_err(|_| DiscoveryError::ChunkSize)?;
-        let httparse::Status::Complete((length, size)) = parsed else { return Ok(Some(0)) };
+        let httparse::Status::Complete((length, size)) = parsed else {
+            // Guards against a line that never ends: it would fill the memory.
+            let too_long = self.buffer.len() > MAX_HEAD_BYTES;
+            return if too_long { Err(DiscoveryError::ChunkSize) } else { Ok(Some(0)) };
+        };
         self.buffer.drain(..length);
         if size == 0 {
             return Ok(None);
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -69,6 +69,9 @@
     }
     let endless = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000));
     assert!(matches!(body_of(&endless, 1000).unwrap_err(), DiscoveryError::HeadTooLong));
+    let chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;";
+    let endless = format!("{chunk}{}", "x".repeat(40_000));
+    assert!(matches!(body_of(&endless, 1000).unwrap_err(), DiscoveryError::ChunkSize));
 }
 
 #[test]
