--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,5 +1,5 @@
 use super::backoff::Backoff;
-use super::call_policy::{CallPolicy, DiscoveryKind};
+use super::call_policy::{CallPolicy, DiscoveryKind, JITTER_DIVISOR};
 use super::error::DiscoveryError;
 use super::http_response::{ResponseDecoder, ResponsePart};
 use super::object_stream::{ObjectStream, StreamItem};
@@ -74,6 +74,20 @@
     assert!(matches!(body_of(&endless, 1000).unwrap_err(), DiscoveryError::ChunkSize));
 }
 
+/// Guards against a pause that fits the load on discovery and not the grace: an update must be heard of, and
+/// a process may be held up for 150 ms, within the grace and the 50 ms that sockets allow.
+#[test]
+fn an_agent_is_called_again_well_within_any_grace() {
+    for grace in [200, 250, 500, 1000, 2000] {
+        let grace = Duration::from_millis(grace);
+        let policy = CallPolicy::new(DiscoveryKind::LocalAgent { drain_grace: grace });
+        let longest = policy.answer_limit.max(policy.later_answer_limit).max(policy.max_retry_delay);
+        let stretched = longest + longest / JITTER_DIVISOR;
+        let allowed = grace + Duration::from_millis(50) - Duration::from_millis(150);
+        assert!(stretched <= allowed, "{stretched:?} of {grace:?}");
+    }
+}
+
 #[test]
 fn the_delay_doubles_while_nothing_is_received_and_stays_within_a_quarter() {
     let grace = |ms| DiscoveryKind::LocalAgent { drain_grace: Duration::from_millis(ms) };
