--- a/tests/proxy/races/discovery.rs
+++ b/tests/proxy/races/discovery.rs
@@ -41,12 +41,21 @@
     let proxy = Proxy::start_with_shell(&[&member], &shell, "");
     let shared_discovery = ScriptedDiscovery::start();
     proxy.reload(&configuration_at(shared_discovery.address));
-    let (_waiting, _) = shared_discovery.accept_request();
+    let (waiting, _) = shared_discovery.accept_request();
     let start = Instant::now();
     let (_repeated, _) = shared_discovery.accept_request();
     let waited = start.elapsed();
     assert!(waited > Duration::from_millis(2500), "given up after {waited:?}");
     assert!(waited < Duration::from_millis(3500), "repeated after {waited:?} only");
+    waiting.set_nonblocking(true).unwrap();
+    let is_open = waiting.peek(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+    assert!(is_open, "the first call keeps its turn");
+    // A call beside one that hangs is given longer.
+    let start = Instant::now();
+    let (_again, _) = shared_discovery.accept_request();
+    let waited = start.elapsed();
+    assert!(waited > Duration::from_millis(3250), "given up after {waited:?}");
+    assert!(waited < Duration::from_millis(4500), "repeated after {waited:?} only");
 }
 
 /// Guards against missing a drain that the old address sends while the new one is silent, and against a new
