Test: the admin listener's row on setsockopt comes before any other connection of its process

Traced: the rule lets one setsockopt pass and fails the rest; the connection of the row before sets its linger time after its answer was read, and took that one pass when the new rule was already in place. Change: that row comes first, when no connection was made yet; all rows are checked as before.

--- a/tests/proxy/system_calls.rs
+++ b/tests/proxy/system_calls.rs
@@ -233,12 +233,14 @@
     let proxy = start_proxy(&members, &faults);
     let local = proxy.admin_address.unwrap();
     for rule in [
+        // First: after an answer its connection sets a time limit once more, which would count as the one to
+        // skip.
+        format!("setsockopt local={local} on=accepted skip=1 error=ENOBUFS"),
         "pthread_create error=EAGAIN".to_string(),
         format!("read local={local} on=accepted every=2 error=ENOMEM"),
         format!("read local={local} on=accepted short=1"),
         format!("write local={local} on=accepted short=1"),
         format!("write local={local} on=accepted every=2 error=EINTR"),
-        format!("setsockopt local={local} on=accepted skip=1 error=ENOBUFS"),
     ] {
         faults.set(&rule);
         assert_eq!(proxy.admin_request("GET", "ready").0, 200, "{rule}");
