--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -78,21 +78,31 @@
 }
 
 impl Process {
-    /// Starts `liftrelay` from the root with the `run` command of the deploy file and these further arguments.
+    /// Starts a proxy with the `run` command of the deploy file and these further arguments.
     pub fn start(arguments: &Arguments, record: &Record, name: &str, config: &Path, more: &str) -> Process {
-        let deploy = std::fs::read_to_string(arguments.root.join("deploy/balancer.toml"))
-            .unwrap_or_else(|error| cannot_run(&format!("deploy file: {error}")));
-        let run = deploy
-            .lines()
-            .find_map(|line| line.strip_prefix("run = \""))
-            .and_then(|rest| rest.split('"').next())
-            .unwrap_or_else(|| cannot_run("the deploy file has no run"));
-        let command = format!("{run} {more}");
+        let command = format!("{} {more}", run_command(arguments));
+        Process::start_command(arguments, record, name, config, command.trim())
+    }
+
+    /// Starts a replica of the store by itself, with the same program: `store --file FILE run`.
+    pub fn start_replica(arguments: &Arguments, record: &Record, name: &str, file: &Path) -> Process {
+        let command = run_command(arguments).replace(" serve", &format!(" store --file {} run", file.display()));
+        Process::start_command(arguments, record, name, file, &command)
+    }
+
+    fn start_command(
+        arguments: &Arguments,
+        record: &Record,
+        name: &str,
+        config: &Path,
+        command: &str,
+    ) -> Process {
         record.line(&format!("start {name}: {command}"));
-        let log = File::create(arguments.temporary.join(format!("{name}.log"))).unwrap();
+        let path = arguments.temporary.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(path).unwrap();
         let child = Command::new("/bin/sh")
             .arg("-c")
-            .arg(command.trim())
+            .arg(command)
             .current_dir(&arguments.root)
             .env("GW_CONFIG", config)
             .env_remove("GW_LISTEN")
@@ -137,6 +147,15 @@
     }
 }
 
+/// The `run` command of the deploy file.
+pub fn run_command(arguments: &Arguments) -> String {
+    let deploy = std::fs::read_to_string(arguments.root.join("deploy/balancer.toml"))
+        .unwrap_or_else(|error| cannot_run(&format!("deploy file: {error}")));
+    let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
+    let run = run.and_then(|rest| rest.split('"').next());
+    run.unwrap_or_else(|| cannot_run("the deploy file has no run")).to_string()
+}
+
 /// Waits until the proxy answers the empty query with EmptyQueryResponse, as the front does.
 pub fn wait_until_ready(address: SocketAddr) {
     for _ in 0..600 {
@@ -177,7 +196,11 @@
 
 /// A Bind of the unnamed portal with text parameters.
 pub fn bind(statement: &str, parameters: &[&str]) -> Vec<u8> {
-    let mut body = [&[0], statement.as_bytes(), &[0, 0, 0]].concat();
+    bind_named("", statement, parameters)
+}
+
+pub fn bind_named(portal: &str, statement: &str, parameters: &[&str]) -> Vec<u8> {
+    let mut body = [portal.as_bytes(), &[0], statement.as_bytes(), &[0, 0, 0]].concat();
     body.extend((parameters.len() as u16).to_be_bytes());
     for parameter in parameters {
         body.extend((parameter.len() as u32).to_be_bytes());
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,10 +2,12 @@
 //! environment, the case runs without its disruption. The program exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run.
 
+mod change;
 mod common;
 mod config;
 mod discovery;
 mod drain;
+mod flood;
 mod member;
 mod stale;
 
@@ -18,7 +20,9 @@
     let arguments =
         Arguments { folder: folder.into(), temporary: temporary.into(), root: root.into(), trouble };
     let code = match case.as_str() {
+        "change" => change::run(&arguments),
         "drain" => drain::run(&arguments),
+        "flood" => flood::run(&arguments),
         "stale" => stale::run(&arguments, &stale::PORT_LOUIS),
         "batch" => stale::run(&arguments, &stale::KEELUNG_BATCH),
         _ => cannot_run("no such case"),
