--- a/review/standins/config.rs
+++ b/review/standins/config.rs
@@ -10,15 +10,16 @@
  {"aim_us":200000,"credit":1.0,"deadline_us":800000,"effect":"safe","key_scope":"all","late_share":0.0,"name":"current-read","streamed":false,"window_us":5000000},
  {"aim_us":600000,"credit":6.0,"deadline_us":5000000,"effect":"unsafe","key_scope":"all","late_share":0.7,"name":"member-write","streamed":false,"window_us":5000000}]"#;
 
-/// The classes of Keelung, in the order in which the settings below give their needs.
+/// The classes of Keelung, with the figures of its site file.
 pub const KEELUNG_CLASSES: &str = r#"[
+ {"aim_us":300000,"credit":3.0,"deadline_us":1200000,"effect":"safe","key_scope":"all","late_share":0.0,"name":"status-check","streamed":false,"window_us":5000000},
  {"aim_us":500000,"credit":2.0,"deadline_us":1500000,"effect":"safe","key_scope":"all","late_share":0.2,"name":"own-draft","streamed":false,"window_us":5000000},
  {"aim_us":600000,"credit":1.0,"deadline_us":2500000,"effect":"safe","key_scope":"all","late_share":0.2,"name":"tariff-lookup","streamed":false,"window_us":5000000},
  {"aim_us":750000,"credit":6.0,"deadline_us":3000000,"effect":"unsafe","key_scope":"all","late_share":0.5,"name":"file-entry","streamed":false,"window_us":5000000}]"#;
 
 pub fn config(listen: SocketAddr, discovery: &Discovery, classes: &str, when_behind: &str) -> String {
     let (freshness, bounds) = match classes == KEELUNG_CLASSES {
-        true => (r#"["own_writes","loose","update"]"#, "[0,0,0]"),
+        true => (r#"["recent","own_writes","loose","update"]"#, "[800000,0,0,0]"),
         false => (r#"["own_writes","loose","latest","update"]"#, "[0,0,0,0]"),
     };
     format!(
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod flood;
 mod member;
+mod mixed;
 mod stale;
 
 use common::{Arguments, cannot_run};
@@ -20,9 +21,11 @@
     let arguments =
         Arguments { folder: folder.into(), temporary: temporary.into(), root: root.into(), trouble };
     let code = match case.as_str() {
+        "browse" => stale::run(&arguments, &stale::KEELUNG_BROWSE),
         "change" => change::run(&arguments),
         "drain" => drain::run(&arguments),
         "flood" => flood::run(&arguments),
+        "mixed" => mixed::run(&arguments),
         "stale" => stale::run(&arguments, &stale::PORT_LOUIS),
         "batch" => stale::run(&arguments, &stale::KEELUNG_BATCH),
         _ => cannot_run("no such case"),
--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -28,7 +28,7 @@
 
 impl GroupLog {
     /// Appends a commit and returns its position, rounded up.
-    fn commit(&self, session: &str, value: &str) -> u64 {
+    pub fn commit(&self, session: &str, value: &str) -> u64 {
         let mut log = self.0.lock().unwrap();
         let at_ms = unix_ms() + 1;
         log.push(Commit { at_ms, session: session.into(), value: value.into() });
--- a/review/standins/stale.rs
+++ b/review/standins/stale.rs
@@ -17,10 +17,16 @@
 const WRITE: &str = "INSERT INTO entries (ref, payload) VALUES ($1, $2) RETURNING payload";
 const READ: &str = "SELECT payload FROM entries WHERE ref = $1";
 
+/// A read that any member may serve, of the session too.
+const BROWSE: &str = "SELECT payload FROM tariffs WHERE ref = $1 /* c=BROWSE,cluster=0 */";
+
 /// What a case plays.
 pub struct Plan {
     /// The sessions whose writes are in one batch. The read is of the last one's.
     sessions: u64,
+    /// Whether the session makes a read that any member may serve between its write and its read of what it wrote, and
+    /// the app server reads on another connection of its pool than it writes.
+    browses: bool,
     groups: u32,
     classes: &'static str,
     /// The settings' word for what members do with a read that they are too far behind for.
@@ -28,6 +34,8 @@
     /// The classes that take the place of those in `deploy/postgres.toml`.
     read_class: &'static str,
     write_class: &'static str,
+    /// A class of reads that any member may serve.
+    browse_class: &'static str,
     work_ms: u64,
     /// The replicas that fall behind.
     behind: usize,
@@ -42,11 +50,13 @@
 /// 56), and runs at a sixth of its speed while the member is slow.
 pub const KEELUNG_BATCH: Plan = Plan {
     sessions: 2,
+    browses: false,
     groups: 2,
     classes: KEELUNG_CLASSES,
     when_behind: "silent",
     read_class: "own-draft",
     write_class: "file-entry",
+    browse_class: "tariff-lookup",
     work_ms: 84,
     behind: 1,
     period_ms: 8000,
@@ -54,15 +64,20 @@
     fast: 1.0 / 0.43,
 };
 
+/// The same with one session in a batch, which browses between its write and its read.
+pub const KEELUNG_BROWSE: Plan = Plan { sessions: 1, browses: true, ..KEELUNG_BATCH };
+
 /// Port Louis: on two of four db boxes (up to 50%) another program takes 70% of the machine (31 to 73), 4 s on and
 /// 4 s off (1.4 to 4.8), for 32 s (15 to 40). The thread for the log is busy half of the time (34 to 57%).
 pub const PORT_LOUIS: Plan = Plan {
     sessions: 1,
+    browses: false,
     groups: 1,
     classes: CLASSES,
     when_behind: "hold",
     read_class: "own-profile-read",
     write_class: "member-write",
+    browse_class: "browse-read",
     work_ms: 58,
     behind: 2,
     period_ms: 4000,
@@ -116,11 +131,11 @@
 
     let counts = Arc::new(Counts::default());
     let over = Arc::new(AtomicBool::new(false));
-    let sessions = plan.sessions;
+    let (sessions, browses, browse_class) = (plan.sessions, plan.browses, plan.browse_class);
     let threads: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let (counts, over, record) = (counts.clone(), over.clone(), record.clone());
-            std::thread::spawn(move || client(number, sessions, extended, &counts, &over, &record))
+            std::thread::spawn(move || client(number, sessions, browses, browse_class, extended, &counts, &over, &record))
         })
         .collect();
     sleep_ms(BEHIND_MS[0]);
@@ -163,6 +178,8 @@
 fn client(
     number: u64,
     sessions: u64,
+    browses: bool,
+    browse_class: &str,
     address: SocketAddr,
     counts: &Counts,
     over: &AtomicBool,
@@ -171,35 +188,34 @@
     let mut draws = Draws(0x9e37_79b9 + number * 7919);
     let names: Vec<String> =
         (0..sessions).map(|session| format!("{:08x}{number:08x}", 0x7f3a_9c21 + session)).collect();
-    let mut connection: Option<Wire> = None;
+    let mut connections: Option<(Wire, Option<Wire>)> = None;
     let mut written = 0;
     sleep_ms(draws.below(400));
     while !over.load(Ordering::SeqCst) {
-        if connection.is_none() {
-            connection = Wire::connect(address, 8000).ok().and_then(|mut wire| {
-                wire.send(&[parse("w", WRITE), parse("r", READ), sync()].concat()).ok()?;
-                let reply = wire.read_reply().ok()?;
-                (answer_of(&reply).is_none()).then_some(wire)
+        if connections.is_none() {
+            connections = connect(address, browse_class).and_then(|writer| {
+                let reader = if browses { Some(connect(address, browse_class)?) } else { None };
+                Some((writer, reader))
             });
-            if connection.is_none() {
+            if connections.is_none() {
                 sleep_ms(100);
                 continue;
             }
         }
-        let Some(wire) = connection.as_mut() else { continue };
+        let Some((writer, reader)) = connections.as_mut() else { continue };
         written += 1;
         // One write for each session, in one batch.
         let mut batch = Vec::new();
         for session in &names {
             batch.extend([bind("w", &[session, &format!("{session}-{written}")]), execute()].concat());
         }
-        let wrote = ask(wire, &[batch, sync()].concat());
+        let wrote = ask(writer, &[batch, sync()].concat());
         record.line(&format!("client {number} wrote {written} for {names:?}: {wrote:?}"));
         match wrote {
             Some(Answer::Served(_)) => counts.writes.fetch_add(1, Ordering::SeqCst),
             Some(Answer::Error(_)) => counts.unserved.fetch_add(1, Ordering::SeqCst),
             None => {
-                connection = None;
+                connections = None;
                 continue;
             }
         };
@@ -207,7 +223,17 @@
         // The site files: a session's reads come 140 to 620 ms (Keelung: 120 to 790) after its write in the mean.
         sleep_ms(draws.between(80, 480));
         let session = &names[names.len() - 1];
-        let read = ask(wire, &[bind("r", &[session]), execute(), sync()].concat());
+        let reader = reader.as_mut().unwrap_or(writer);
+        if browses {
+            let browsed = ask(reader, &[bind("b", &[session]), execute(), sync()].concat());
+            record.line(&format!("client {number} browsed as {session}: {browsed:?}"));
+            if browsed.is_none() {
+                connections = None;
+                continue;
+            }
+            sleep_ms(draws.between(20, 120));
+        }
+        let read = ask(reader, &[bind("r", &[session]), execute(), sync()].concat());
         record.line(&format!("client {number} read {session}: {read:?}"));
         match read {
             Some(Answer::Served(seen)) => {
@@ -224,12 +250,20 @@
             Some(Answer::Error(_)) => {
                 counts.unserved.fetch_add(1, Ordering::SeqCst);
             }
-            None => connection = None,
+            None => connections = None,
         }
         sleep_ms(draws.between(100, 500));
     }
 }
 
+/// A connection with the statements prepared.
+fn connect(address: SocketAddr, browse_class: &str) -> Option<Wire> {
+    let mut wire = Wire::connect(address, 8000).ok()?;
+    wire.send(&[parse("w", WRITE), parse("r", READ), parse("b", &BROWSE.replace("BROWSE", browse_class)), sync()].concat()).ok()?;
+    let reply = wire.read_reply().ok()?;
+    (answer_of(&reply).is_none()).then_some(wire)
+}
+
 fn ask(wire: &mut Wire, bytes: &[u8]) -> Option<Answer> {
     wire.send(bytes).ok()?;
     answer_of(&wire.read_reply().ok()?)
