--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
 [ -x "$root/target/review/standins" ] || { echo "review/build.sh has not run" >&2; exit 2; }
-"$root/target/review/standins" drain "$root" "$folder" "$temporary"
+"$root/target/review/standins" flood "$root" "$folder" "$temporary"
