--- a/review/standins/change.rs
+++ b/review/standins/change.rs
@@ -31,7 +31,8 @@
         let endpoint = Member::new(&name, primary, Follows::Lag(5), 58, &log, &record).listen();
         Target { uid: name, endpoint, group: 0, state: "SERVING", boot_ms, primary }
     };
-    let targets: Vec<Target> = (0..MEMBERS).map(|index| member(format!("s-old{index}"), index == 0, 0)).collect();
+    let targets: Vec<Target> =
+        (0..MEMBERS).map(|index| member(format!("s-old{index}"), index == 0, 0)).collect();
     let discovery = Discovery::start(targets.clone());
     let listen = free_address();
     let file = arguments.temporary.join("config.json");
@@ -92,7 +93,11 @@
         record.say(&format!("the proxy ended by itself: {status}"));
         return 1;
     }
-    record.say(&format!("{} s after the last change, {} entries of the store are not what the proxy was told", APPLIED_MS / 1000, differences.len()));
+    record.say(&format!(
+        "{} s after the last change, {} entries of the store are not what the proxy was told",
+        APPLIED_MS / 1000,
+        differences.len()
+    ));
     differences.iter().take(12).for_each(|text| record.say(text));
     i32::from(!differences.is_empty())
 }
@@ -116,7 +121,8 @@
 
 /// What `liftrelay store --file FILE status` prints.
 fn status(arguments: &Arguments, file: &PathBuf) -> String {
-    let command = run_command(arguments).replace(" serve", &format!(" store --file {} status", file.display()));
+    let command =
+        run_command(arguments).replace(" serve", &format!(" store --file {} status", file.display()));
     let output = Command::new("/bin/sh").arg("-c").arg(command).current_dir(&arguments.root).output();
     output.map(|output| String::from_utf8_lossy(&output.stdout).into_owned()).unwrap_or_default()
 }
@@ -162,7 +168,8 @@
         for name in names {
             let (kept, heard) = (list.get(name), told.get(name));
             if kept != heard {
-                let word = |state: Option<&String>| state.map_or("not listed", |state| state.as_str()).to_string();
+                let word =
+                    |state: Option<&String>| state.map_or("not listed", |state| state.as_str()).to_string();
                 texts.push(format!("replica {id}: {name} is {}, told {}", word(kept), word(heard)));
             }
         }
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -19,9 +19,9 @@
 
 /// A free port of the loopback address. The listener that found it is closed again.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).unwrap_or_else(|error| {
-        cannot_run(&format!("no free port: {error}"))
-    })
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .unwrap_or_else(|error| cannot_run(&format!("no free port: {error}")))
 }
 
 /// The processes that the case has started and not ended.
@@ -86,7 +86,8 @@
 
     /// Starts a replica of the store by itself, with the same program: `store --file FILE run`.
     pub fn start_replica(arguments: &Arguments, record: &Record, name: &str, file: &Path) -> Process {
-        let command = run_command(arguments).replace(" serve", &format!(" store --file {} run", file.display()));
+        let command =
+            run_command(arguments).replace(" serve", &format!(" store --file {} run", file.display()));
         Process::start_command(arguments, record, name, file, &command)
     }
 
--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -68,7 +68,9 @@
     sleep_ms(CALL_MS);
     if arguments.trouble {
         match http(ops, "PUT", "/control/out-of-service") {
-            Some(answer) if answer.starts_with("HTTP/1.1 2") => record.say("PUT /control/out-of-service: yes"),
+            Some(answer) if answer.starts_with("HTTP/1.1 2") => {
+                record.say("PUT /control/out-of-service: yes")
+            }
             answer => cannot_run(&format!("out-of-service: {answer:?}")),
         }
         let ready = Wire::connect(listen, 1000).and_then(|mut wire| {
@@ -169,7 +171,9 @@
         let mut state = state.lock().unwrap();
         state.open = false;
         let unread = state.sent.len();
-        record.line(&format!("client {client}: the proxy closed the connection, {unread} sent and not answered"));
+        record.line(&format!(
+            "client {client}: the proxy closed the connection, {unread} sent and not answered"
+        ));
     }
 }
 
--- a/review/standins/flood.rs
+++ b/review/standins/flood.rs
@@ -63,7 +63,10 @@
         let Some(memory_kib) = proxy.memory_kib() else { break };
         highest = highest.max(memory_kib);
         if memory_kib > MEMORY_MB * 1024 {
-            record.say(&format!("the proxy uses {} MiB, its limit is {MEMORY_MB}: the platform kills it", memory_kib / 1024));
+            record.say(&format!(
+                "the proxy uses {} MiB, its limit is {MEMORY_MB}: the platform kills it",
+                memory_kib / 1024
+            ));
             proxy.signal("KILL");
             is_killed = true;
             break;
@@ -149,8 +152,12 @@
         count += 1;
         let id = format!("{number:04x}{count:08x}");
         let text = match draws.below(3) {
-            0 => format!("INSERT INTO entries (ref, payload) VALUES ('{number:016x}', '{id}') RETURNING payload /* id={id},c=member-write,d=5000,cluster=0 */"),
-            _ => format!("SELECT payload FROM entries WHERE ref = '{number:016x}' /* id={id},c=browse-read,d=1000,cluster=0 */"),
+            0 => format!(
+                "INSERT INTO entries (ref, payload) VALUES ('{number:016x}', '{id}') RETURNING payload /* id={id},c=member-write,d=5000,cluster=0 */"
+            ),
+            _ => format!(
+                "SELECT payload FROM entries WHERE ref = '{number:016x}' /* id={id},c=browse-read,d=1000,cluster=0 */"
+            ),
         };
         if wire.send(&query(&text)).is_err() {
             return;
--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -70,7 +70,14 @@
 }
 
 impl Member {
-    pub fn new(name: &str, primary: bool, follows: Follows, work_ms: u64, log: &Arc<GroupLog>, record: &Record) -> Arc<Member> {
+    pub fn new(
+        name: &str,
+        primary: bool,
+        follows: Follows,
+        work_ms: u64,
+        log: &Arc<GroupLog>,
+        record: &Record,
+    ) -> Arc<Member> {
         Arc::new(Member {
             name: name.into(),
             primary: AtomicBool::new(primary),
@@ -95,8 +102,9 @@
                 let (at, mut position) = *applied;
                 for at in at.max(from_ms)..now {
                     let is_slow = (at - from_ms) / period_ms % 2 == 0;
-                    position = (position.max(from_ms as f64 - LEAST_LAG_MS as f64) + if is_slow { slow } else { fast })
-                        .min((at + 1 - LEAST_LAG_MS) as f64);
+                    position = (position.max(from_ms as f64 - LEAST_LAG_MS as f64)
+                        + if is_slow { slow } else { fast })
+                    .min((at + 1 - LEAST_LAG_MS) as f64);
                 }
                 *applied = (now, position);
                 if now <= from_ms { now - LEAST_LAG_MS } else { position as u64 }
@@ -189,13 +197,22 @@
                 b'D' => self.put(b'n', &[]),
                 b'C' => {
                     let (name, _) = c_string(&body[1..]);
-                    if body[0] == b'S' { self.prepared.remove(&name); } else { self.portals.remove(&name); }
+                    if body[0] == b'S' {
+                        self.prepared.remove(&name);
+                    } else {
+                        self.portals.remove(&name);
+                    }
                     self.put(b'3', &[]);
                 }
                 b'E' => {
                     let (portal, _) = c_string(&body);
                     let (sql, parameters) = self.portals.get(&portal).cloned().unwrap_or_default();
-                    self.run(&sql, parameters.first().cloned().unwrap_or_default(), parameters.get(1).cloned().unwrap_or_default(), false);
+                    self.run(
+                        &sql,
+                        parameters.first().cloned().unwrap_or_default(),
+                        parameters.get(1).cloned().unwrap_or_default(),
+                        false,
+                    );
                 }
                 _ => return Ok(()),
             }
@@ -249,7 +266,9 @@
             }
             sleep_ms(member.work_ms);
             let at = member.log.commit(&session, &value);
-            member.record.line(&format!("{name} ran the write of session {session}, value {value}, commit {at}"));
+            member
+                .record
+                .line(&format!("{name} ran the write of session {session}, value {value}, commit {at}"));
             self.reported_ms = Some(at);
             return self.row(&value, described);
         }
--- a/review/standins/mixed.rs
+++ b/review/standins/mixed.rs
@@ -198,5 +198,8 @@
         return Some(Vec::new());
     }
     let rows = reply.iter().filter(|(tag, _)| *tag == b'D');
-    Some(rows.map(|(_, body)| String::from_utf8_lossy(body.get(6..).unwrap_or_default()).into_owned()).collect())
+    Some(
+        rows.map(|(_, body)| String::from_utf8_lossy(body.get(6..).unwrap_or_default()).into_owned())
+            .collect(),
+    )
 }
--- a/review/standins/stale.rs
+++ b/review/standins/stale.rs
@@ -135,7 +135,9 @@
     let threads: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let (counts, over, record) = (counts.clone(), over.clone(), record.clone());
-            std::thread::spawn(move || client(number, sessions, browses, browse_class, extended, &counts, &over, &record))
+            std::thread::spawn(move || {
+                client(number, sessions, browses, browse_class, extended, &counts, &over, &record)
+            })
         })
         .collect();
     sleep_ms(BEHIND_MS[0]);
@@ -259,7 +261,11 @@
 /// A connection with the statements prepared.
 fn connect(address: SocketAddr, browse_class: &str) -> Option<Wire> {
     let mut wire = Wire::connect(address, 8000).ok()?;
-    wire.send(&[parse("w", WRITE), parse("r", READ), parse("b", &BROWSE.replace("BROWSE", browse_class)), sync()].concat()).ok()?;
+    wire.send(
+        &[parse("w", WRITE), parse("r", READ), parse("b", &BROWSE.replace("BROWSE", browse_class)), sync()]
+            .concat(),
+    )
+    .ok()?;
     let reply = wire.read_reply().ok()?;
     (answer_of(&reply).is_none()).then_some(wire)
 }
