--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -159,7 +159,8 @@
 
 /// Waits until the proxy answers the empty query with EmptyQueryResponse, as the front does.
 pub fn wait_until_ready(address: SocketAddr) {
-    for _ in 0..600 {
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(20) {
         let answer = || -> io::Result<bool> {
             let mut wire = Wire::connect(address, 500)?;
             wire.send(&query(""))?;
--- a/review/standins/flood.rs
+++ b/review/standins/flood.rs
@@ -159,6 +159,7 @@
                 "SELECT payload FROM entries WHERE ref = '{number:016x}' /* id={id},c=browse-read,d=1000,cluster=0 */"
             ),
         };
+        record.line(&format!("client {number} sends {id}"));
         if wire.send(&query(&text)).is_err() {
             return;
         }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -20,6 +20,11 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let arguments =
         Arguments { folder: folder.into(), temporary: temporary.into(), root: root.into(), trouble };
+    // A case ends within 120 s, whatever the proxy does.
+    std::thread::spawn(|| {
+        std::thread::sleep(std::time::Duration::from_secs(110));
+        cannot_run("it took over 110 s")
+    });
     let code = match case.as_str() {
         "browse" => stale::run(&arguments, &stale::KEELUNG_BROWSE),
         "change" => change::run(&arguments),
--- a/review/standins/mixed.rs
+++ b/review/standins/mixed.rs
@@ -159,6 +159,10 @@
         }
         bytes.extend([bind("s", &[]), execute(), sync()].concat());
         let sent_ms = unix_ms();
+        record.line(&format!(
+            "client {number} at {sent_ms}: sends the status{}",
+            if alone { "" } else { " and a draft" }
+        ));
         let values = ask(wire, &bytes);
         record.line(&format!("client {number} at {sent_ms}: alone {alone}, answered {values:?}"));
         match values {
--- a/review/standins/stale.rs
+++ b/review/standins/stale.rs
@@ -211,6 +211,7 @@
         for session in &names {
             batch.extend([bind("w", &[session, &format!("{session}-{written}")]), execute()].concat());
         }
+        record.line(&format!("client {number} sends write {written} for {names:?}"));
         let wrote = ask(writer, &[batch, sync()].concat());
         record.line(&format!("client {number} wrote {written} for {names:?}: {wrote:?}"));
         match wrote {
@@ -227,6 +228,7 @@
         let session = &names[names.len() - 1];
         let reader = reader.as_mut().unwrap_or(writer);
         if browses {
+            record.line(&format!("client {number} sends a browse read for {session}"));
             let browsed = ask(reader, &[bind("b", &[session]), execute(), sync()].concat());
             record.line(&format!("client {number} browsed as {session}: {browsed:?}"));
             if browsed.is_none() {
@@ -235,6 +237,7 @@
             }
             sleep_ms(draws.between(20, 120));
         }
+        record.line(&format!("client {number} sends an own read for {session}"));
         let read = ask(reader, &[bind("r", &[session]), execute(), sync()].concat());
         record.line(&format!("client {number} read {session}: {read:?}"));
         match read {
