A read no longer makes the extended listener forget its session's commit

Cause: `MemberResponse::commit_position` held whatever position the member had reported: of a write its commit, of a read only how far the member had applied the log. `Postgres::finish` recorded it as the session's last commit after every served batch, in place of a later one. A read that a lagging replica may serve so lowered what the session's next read asks for.

The case of a late answer is real all the same (below).

Now: the field is called what it is (`position`); a batch records a commit only if it may have written and was not rolled back, and the later position is kept, for each group by itself (positions of groups are times on different clocks). It is recorded before a reply that exceeds the reorder buffer is replaced by an error: the write has run. A connection's own memory of replied writes keeps the latest position of each session, too, not that of the last reply.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -23,8 +23,9 @@
 pub struct MemberResponse {
     /// The messages for the client, as received, without ReadyForQuery.
     pub bytes: Vec<u8>,
-    /// The replication position of a write's commit, if the member reported it.
-    pub commit_position: Option<Micros>,
+    /// The replication position that the member reported: of a write, its commit; of a read, the position up
+    /// to which the member had applied commits, which may be behind those of the client's session.
+    pub position: Option<Micros>,
 }
 
 /// Converts a duration to milliseconds, rounding up.
--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -226,6 +226,10 @@
         let mut effects = Vec::new();
         let Some(connection) = self.connections.get_mut(&id) else { return effects };
         let Some(index) = connection.pipeline.index_of(request) else { return effects };
+        let protocol = &mut self.protocol;
+        if let FinalAnswer::Served(response) = &answer {
+            connection.pipeline.record_commit(index, protocol, response);
+        }
         // While an earlier reply is missing, later replies are buffered. A response that would exceed the
         // limit is replaced by an error, as replies would otherwise use memory without bound.
         let answer = match answer {
@@ -236,16 +240,9 @@
             }
             answer => answer,
         };
-        let commit_position = match &answer {
-            FinalAnswer::Served(response) => response.commit_position,
-            FinalAnswer::Rejected { .. } | FinalAnswer::Failed { .. } => None,
-        };
-        let protocol = &mut self.protocol;
         let session = &mut connection.session;
         let buffered_before = connection.pipeline.buffered_bytes();
-        connection
-            .pipeline
-            .finish(index, commit_position, |context| protocol.finish(session, context, answer));
+        connection.pipeline.finish(index, |context| protocol.finish(session, context, answer));
         self.reordered_bytes += connection.pipeline.buffered_bytes() - buffered_before;
         self.advance(registry, now, id, &mut effects);
         self.close_if_idle(id, &mut effects);
--- a/src/front/connection_manager/tests.rs
+++ b/src/front/connection_manager/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::Request;
 use crate::client::{ParsedQuery, ParsedRequest, SimpleQuery};
 use crate::exchange::MemberRequest;
 use crate::front::platform::Platform;
@@ -39,11 +40,19 @@
 }
 
 fn query(id: u8) -> ClientEvent<SimpleQuery> {
+    command(id, false, 7)
+}
+
+fn write_of_another_session(id: u8) -> ClientEvent<SimpleQuery> {
+    command(id, true, 8)
+}
+
+fn command(id: u8, writes: bool, session: u64) -> ClientEvent<SimpleQuery> {
     let request = ParsedRequest {
         class: 0,
-        writes: false,
+        writes,
         group: GROUP,
-        session: 7,
+        session,
         required_position: None,
         is_retry: false,
         external_id: vec![id],
@@ -58,11 +67,15 @@
 }
 
 fn started_requests(effects: Vec<FrontEffect>) -> Vec<RequestId> {
-    let id = |effect: FrontEffect| match effect {
-        FrontEffect::StartRequest(started) => Some(started.request.id),
+    started(effects).into_iter().map(|request| request.id).collect()
+}
+
+fn started(effects: Vec<FrontEffect>) -> Vec<Request> {
+    let request = |effect: FrontEffect| match effect {
+        FrontEffect::StartRequest(started) => Some(started.request),
         _ => None,
     };
-    effects.into_iter().filter_map(id).collect()
+    effects.into_iter().filter_map(request).collect()
 }
 
 fn written(effects: Vec<FrontEffect>) -> Vec<Vec<u8>> {
@@ -74,7 +87,7 @@
 }
 
 fn served(length: usize) -> FinalAnswer<MemberResponse> {
-    FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; length], commit_position: None })
+    FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; length], position: None })
 }
 
 #[test]
@@ -92,6 +105,21 @@
     assert_eq!(harness.manager.reordered_bytes, 0);
 }
 
+/// Guards against the loss of a commit whose reply exceeds the reorder buffer: the write has been executed,
+/// although its client gets an error.
+#[test]
+fn read_behind_a_write_whose_reply_is_replaced_by_an_error_must_see_its_commit() {
+    let mut harness = Harness::connected();
+    let first = started(harness.handle(0, query(1)))[0].id;
+    let write = started(harness.handle(0, write_of_another_session(2)))[0].id;
+    assert!(started(harness.handle(0, query(3))).is_empty(), "the read waits for the write");
+    let confirmed = FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; 5000], position: Some(77) });
+    let effects = harness.manager.answer(&mut harness.registry, 1, CLIENT, write, confirmed);
+    assert_eq!(started(effects)[0].min_position, Some(77));
+    let replies = harness.answer(2, first, 10);
+    assert!(replies[1].windows(5).any(|code| code == b"08007"), "the reply to the write is an error");
+}
+
 #[test]
 fn disconnect_releases_the_clients_reordered_replies() {
     let mut harness = Harness::connected();
--- a/src/front/pipeline.rs
+++ b/src/front/pipeline.rs
@@ -5,6 +5,7 @@
 
 use super::Protocol;
 use crate::client::ParsedRequest;
+use crate::exchange::MemberResponse;
 use crate::{Micros, RequestId};
 use std::collections::VecDeque;
 
@@ -55,10 +56,12 @@
     stage: Stage<P>,
 }
 
-/// A write of this connection whose reply has been written to the client.
-struct RepliedWrite {
+/// The writes of one session to one group whose replies have been written to the client.
+struct RepliedWrites {
     access: Access,
+    /// The position of the last commit.
     commit_position: Micros,
+    /// When the last of the replies was written.
     replied_at: Micros,
 }
 
@@ -82,9 +85,9 @@
     }
 }
 
-/// The number of replied writes that a connection remembers. No more writes can be in a pipeline together
-/// with a read that must see them.
-const MAX_REPLIED_WRITES: usize = 8;
+/// The number of sessions, in one group each, whose replied writes a connection remembers. No more writes can be
+/// in a pipeline together with a read that must see them.
+const MAX_REPLIED_SESSIONS: usize = 8;
 
 /// A request that no longer waits for earlier commands.
 pub struct ReadyRequest {
@@ -107,7 +110,8 @@
 /// The commands of a connection, in the order in which they were read.
 pub struct Pipeline<P: Protocol> {
     entries: VecDeque<Entry<P>>,
-    replied_writes: VecDeque<RepliedWrite>,
+    /// The session that was replied to last comes first.
+    replied_writes: VecDeque<RepliedWrites>,
 }
 
 impl<P: Protocol> Default for Pipeline<P> {
@@ -205,14 +209,14 @@
     fn required_commit_position(&self, index: usize) -> Option<Micros> {
         let entry = &self.entries[index];
         let read = entry.access.filter(|access| !access.writes)?;
-        let replied = self.replied_writes.iter().filter(|write| {
-            let same_session = write.access.session == read.session;
-            write.access.group == read.group && (same_session || entry.read_at <= write.replied_at)
+        let replied = self.replied_writes.iter().filter(|writes| {
+            let same_session = writes.access.session == read.session;
+            writes.access.group == read.group && (same_session || entry.read_at <= writes.replied_at)
         });
         let unreplied = self.entries.range(..index);
         let unreplied =
             unreplied.filter(|earlier| earlier.access.is_some_and(|access| access.group == read.group));
-        let replied_commits = replied.map(|write| write.commit_position);
+        let replied_commits = replied.map(|writes| writes.commit_position);
         let unreplied_commits = unreplied.filter_map(|earlier| earlier.commit_position);
         replied_commits.chain(unreplied_commits).max()
     }
@@ -229,16 +233,20 @@
         self.entries.iter().position(|entry| entry.request() == Some(request))
     }
 
-    /// Records the final answer to a running request. `reply` builds the reply to the client;
-    /// `commit_position` is ignored unless the request is a write.
-    pub fn finish(
-        &mut self,
-        index: usize,
-        commit_position: Option<Micros>,
-        reply: impl FnOnce(P::Context) -> Vec<u8>,
-    ) {
+    /// Records the commit that a member's response to a running request confirms.
+    pub fn record_commit(&mut self, index: usize, protocol: &mut P, response: &MemberResponse) {
+        let entry = &mut self.entries[index];
+        if entry.access.is_some_and(|access| access.writes) {
+            entry.commit_position = response.position;
+        }
+        if let Stage::Running(_, context) = &entry.stage {
+            protocol.record_commit(context, response);
+        }
+    }
+
+    /// Records the final answer to a running request. `reply` builds the reply to the client.
+    pub fn finish(&mut self, index: usize, reply: impl FnOnce(P::Context) -> Vec<u8>) {
         let entry = &mut self.entries[index];
-        entry.commit_position = commit_position.filter(|_| entry.access.is_some_and(|access| access.writes));
         if let Stage::Running(_, context) = std::mem::replace(&mut entry.stage, Stage::Finished(Vec::new())) {
             entry.stage = Stage::Finished(reply(context));
         }
@@ -248,8 +256,7 @@
     pub fn pop_reply(&mut self, now: Micros) -> Option<Vec<u8>> {
         let entry = self.entries.pop_front_if(|entry| entry.is_finished())?;
         if let Some((access, commit_position)) = entry.access.zip(entry.commit_position) {
-            self.replied_writes.truncate(MAX_REPLIED_WRITES - 1);
-            self.replied_writes.push_front(RepliedWrite { access, commit_position, replied_at: now });
+            self.remember_replied_write(access, commit_position, now);
         }
         match entry.stage {
             Stage::Finished(reply) => Some(reply),
@@ -257,6 +264,16 @@
         }
     }
 
+    /// Remembers a replied write, together with earlier ones of the same session in the same group.
+    fn remember_replied_write(&mut self, access: Access, commit_position: Micros, replied_at: Micros) {
+        let same = self.replied_writes.iter().position(|writes| writes.access == access);
+        let earlier = same.and_then(|index| self.replied_writes.remove(index));
+        let commit_position =
+            earlier.map_or(commit_position, |writes| writes.commit_position.max(commit_position));
+        self.replied_writes.truncate(MAX_REPLIED_SESSIONS - 1);
+        self.replied_writes.push_front(RepliedWrites { access, commit_position, replied_at });
+    }
+
     /// The bytes of replies that wait for earlier replies.
     pub fn buffered_bytes(&self) -> usize {
         self.entries.iter().map(Entry::buffered_bytes).sum()
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -2,12 +2,13 @@
 
 use super::config::{ExtendedListenerConfig, UnknownClassError};
 use super::error::BatchError;
+use super::session_commits::SessionCommits;
 use crate::client::ParsedRequest;
 use crate::clock::from_unix_ms;
 use crate::exchange::MemberRequest;
 use crate::extended::PreparedStatement;
 use crate::pg::statement::{self, StatementFields};
-use crate::{Idempotency, Micros, Requirement, Settings};
+use crate::{Idempotency, Micros, Requirement, SessionInGroup, Settings};
 use std::sync::Arc;
 
 /// The maximum timeout of a request. Without this limit, sums of times could overflow.
@@ -26,6 +27,8 @@
     pub timeout: Micros,
     /// The commit position that a read must see, as time on the core's clock.
     pub required_position: Option<Micros>,
+    /// Whether an execution may write. The proxy cannot tell whether a WITH does, so it counts as one that may.
+    pub may_write: bool,
     /// Whether the client marked the statement as a retry.
     pub is_retry: bool,
     /// The session that the statement's key identifies, 0 for none.
@@ -38,8 +41,8 @@
     pub statements: &'a [AnalyzedStatement],
     /// The client's session, 0 if unknown.
     pub session_key: u64,
-    /// The position of the session's last commit, if known.
-    pub last_commit: Option<Micros>,
+    /// The last commits of all sessions.
+    pub commits: &'a SessionCommits,
 }
 
 /// Analyzes statements. The listener's configuration provides the properties that their text lacks.
@@ -88,6 +91,7 @@
             group: fields.group.unwrap_or(self.config.group),
             timeout: from_unix_ms(timeout_ms).min(MAX_TIMEOUT),
             required_position: fields.min_position_ms.map(from_unix_ms),
+            may_write: writes || self.is_write_class(class),
             is_retry: fields.is_retry,
             session_key: fields.key.map_or(0, statement::session_id),
         })
@@ -127,12 +131,13 @@
         let strictest = statements.iter().max_by_key(|statement| self.strictness(statement.class));
         let required_position = statements.iter().filter_map(|statement| statement.required_position).max();
         let timeout = statements.iter().map(|statement| statement.timeout).min();
+        let session = SessionInGroup { session: batch.session_key, group: first.group };
         Ok(ParsedRequest {
             class: strictest.unwrap_or(first).class,
             writes: statements.iter().any(|statement| self.is_write_class(statement.class)),
             group: first.group,
             session: batch.session_key,
-            required_position: required_position.max(batch.last_commit),
+            required_position: required_position.max(batch.commits.last(session)),
             is_retry: statements.iter().any(|statement| statement.is_retry),
             // The `id` in the comment of a prepared statement is the same for every execution, so it does not
             // identify a request.
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -30,7 +30,7 @@
 use crate::pg::message_tags::backend;
 use crate::pg::{self, statement};
 use crate::store::Change;
-use crate::{Micros, Settings};
+use crate::{Micros, SessionInGroup, Settings};
 use analysis::{BatchStatements, StatementAnalyzer};
 use batch_planner::{BatchPlan, BatchPlanner};
 use dependencies::statement_names;
@@ -48,8 +48,10 @@
 pub struct BatchContext {
     /// The statements that the batch prepares.
     parsed: Vec<ParsedStatement>,
-    /// The client's session, 0 if unknown.
-    session_key: u64,
+    /// The client's session and the group of the batch.
+    session: SessionInGroup,
+    /// Whether the batch may have written if it was served.
+    may_write: bool,
     /// The type of the message that ended the batch.
     end: BatchEnd,
 }
@@ -104,19 +106,17 @@
             return Ok(CommandStep::Reply(reply));
         }
         let statement = self.analyzer.analyze(text, &[])?;
-        let session_key = statement.session_key;
-        let statements = BatchStatements {
-            statements: &[statement],
-            session_key,
-            last_commit: self.commits.last(session_key),
-        };
+        let (session_key, may_write) = (statement.session_key, statement.may_write);
+        let statements = BatchStatements { statements: &[statement], session_key, commits: &self.commits };
         let member_request = MemberRequest::SimpleQuery {
             text: text.to_vec(),
             timeout_digits: statement::parse_fields(text).timeout.map(|timeout| timeout.digits),
         };
         let request = self.analyzer.combine(&statements, member_request)?;
         session.end_transaction();
-        let context = BatchContext { parsed: Vec::new(), session_key, end: BatchEnd::Query };
+        let session_in_group = SessionInGroup { session: session_key, group: request.group };
+        let context =
+            BatchContext { parsed: Vec::new(), session: session_in_group, may_write, end: BatchEnd::Query };
         Ok(CommandStep::Forward(request, context))
     }
 
@@ -142,7 +142,7 @@
         let statements = BatchStatements {
             statements: &plan.statements,
             session_key: plan.session_key,
-            last_commit: self.commits.last(plan.session_key),
+            commits: &self.commits,
         };
         let extended = ExtendedBatch { messages: plan.messages, confirm_before_execute: false };
         let combined = self.analyzer.combine(&statements, MemberRequest::Extended(extended));
@@ -159,7 +159,12 @@
         if batch.end != BatchEnd::Flush {
             session.end_transaction();
         }
-        let context = BatchContext { parsed: plan.parsed, session_key: plan.session_key, end: batch.end };
+        let context = BatchContext {
+            parsed: plan.parsed,
+            session: SessionInGroup { session: plan.session_key, group: request.group },
+            may_write: executes && plan.statements.iter().any(|statement| statement.may_write),
+            end: batch.end,
+        };
         Ok(CommandStep::Forward(request, context))
     }
 
@@ -226,6 +231,18 @@
         self.recorder.take_changes()
     }
 
+    /// A batch with an error has been rolled back. The position of a read is not that of a commit.
+    fn record_commit(&mut self, context: &BatchContext, response: &MemberResponse) {
+        let is_known = context.session.session != 0;
+        if is_known
+            && context.may_write
+            && let Some(position) = response.position
+            && !ReplySummary::of(&response.bytes).has_error
+        {
+            self.commits.record(context.session, position);
+        }
+    }
+
     fn finish(
         &mut self,
         session: &mut Session,
@@ -237,12 +254,6 @@
         let ReplySummary { parse_completes, has_error } = ReplySummary::of(&reply);
         session.undo_parses(context.parsed, if has_error { parse_completes } else { usize::MAX });
         session.skipping_until_sync |= has_error && context.end == BatchEnd::Flush;
-        if let FinalAnswer::Served(MemberResponse { commit_position: Some(position), .. }) = answer
-            && !has_error
-            && context.session_key != 0
-        {
-            self.commits.record(context.session_key, position);
-        }
         if context.end == BatchEnd::Flush {
             session.end_batch(context.end, &mut reply);
         } else {
--- /dev/null
+++ b/src/front/postgres/session_commits/tests.rs
@@ -0,0 +1,201 @@
+//! The commits that reads must see, whatever answers arrive in whatever order on whichever connections.
+
+use crate::client::{BatchEnd, ClientBatch, ClientEvent, ClientId};
+use crate::core::FinalAnswer;
+use crate::exchange::MemberResponse;
+use crate::front::postgres::{ExtendedListenerConfig, Postgres};
+use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
+use crate::pg::message_tags::{backend, frontend};
+use crate::pg::put_message;
+use crate::random::RandomSource;
+use crate::{Class, Idempotency, Micros, Request, RequestId, Requirement, Settings};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const CONNECTIONS: u64 = 4;
+const SESSIONS: u64 = 3;
+const GROUPS: u64 = 2;
+const STEPS: u64 = 400;
+/// Positions of writes are below this, and those of reads above it, so that the two can be told apart.
+const FIRST_POSITION_OF_READS: Micros = 1_000_000;
+const OWN: &str = "own";
+const ANY: &str = "any";
+const WRITE: &str = "write";
+
+/// A request that has been started and not answered.
+struct Running {
+    client: ClientId,
+    request: Request,
+}
+
+/// The front, with the commits that each session has been told of, by session and group.
+struct Harness {
+    manager: ConnectionManager<Postgres>,
+    registry: RequestRegistry,
+    random: RandomSource,
+    running: BTreeMap<RequestId, Running>,
+    confirmed: BTreeMap<(u64, u32), Micros>,
+    /// What the session of each command had been told of when the command was sent, by the command's timeout,
+    /// which is different for each command.
+    confirmed_before: BTreeMap<Micros, Option<Micros>>,
+    own_reads: usize,
+}
+
+impl Harness {
+    fn new(seed: u64) -> Harness {
+        let postgres = Postgres::new(config(), Arc::new(settings())).unwrap();
+        let mut harness = Harness {
+            manager: ConnectionManager::new(postgres, 4000),
+            registry: RequestRegistry::default(),
+            random: RandomSource::new(seed),
+            running: BTreeMap::new(),
+            confirmed: BTreeMap::new(),
+            confirmed_before: BTreeMap::new(),
+            own_reads: 0,
+        };
+        (1..=CONNECTIONS).for_each(|client| harness.connect(client));
+        harness
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.random.below(bound)
+    }
+
+    fn connect(&mut self, client: ClientId) {
+        self.handle(client, ClientEvent::Connected { secret: 1 });
+    }
+
+    fn handle(&mut self, client: ClientId, event: ClientEvent<ClientBatch>) {
+        let effects = self.manager.handle_event(&mut self.registry, 0, client, event);
+        self.apply(effects);
+    }
+
+    /// Records the requests that were started, and asserts that a read of own writes must see the commits that
+    /// its session had been told of, and no position that is not a commit.
+    fn apply(&mut self, effects: Vec<FrontEffect>) {
+        for effect in effects {
+            match effect {
+                FrontEffect::StartRequest(started) => {
+                    let request = started.request;
+                    if request.class == class_index(OWN) {
+                        self.own_reads += 1;
+                        let confirmed = self.confirmed_before[&request.remaining];
+                        assert!(request.min_position >= confirmed, "{request:?}, {confirmed:?}");
+                    }
+                    assert!(request.min_position.unwrap_or(0) < FIRST_POSITION_OF_READS, "{request:?}");
+                    let client = self.registry.client_of(request.id).unwrap();
+                    self.running.insert(request.id, Running { client, request });
+                }
+                FrontEffect::AbandonRequest(id) => drop(self.running.remove(&id)),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, client: ClientId) {
+        let (session, group) = (1 + self.below(SESSIONS), self.below(GROUPS));
+        let class = [OWN, ANY, WRITE][self.below(3) as usize];
+        let sql = match class {
+            WRITE => "insert into t values ($1)",
+            _ => "select 1 from t where ref = $1",
+        };
+        let timeout_ms = 1 + self.confirmed_before.len() as u64;
+        let confirmed = self.confirmed.get(&(session, group as u32)).copied();
+        self.confirmed_before.insert(timeout_ms * 1000, confirmed);
+        let statement = format!("\0{sql} /* c={class},cluster={group},d={timeout_ms} */\0\0\0");
+        let bind = [b"\0\0\0\0\0\x01\0\0\0\x01".as_slice(), session.to_string().as_bytes(), b"\0\0"].concat();
+        let messages = vec![
+            message(frontend::PARSE, statement.as_bytes()),
+            message(frontend::BIND, &bind),
+            message(frontend::EXECUTE, b"\0\0\0\0\0"),
+        ];
+        let batch = ClientBatch { received_at: 0, messages, end: BatchEnd::Sync };
+        self.handle(client, ClientEvent::Command(batch));
+    }
+
+    /// Answers one of the running requests: with an error, with a reply that may exceed the reorder buffer, or
+    /// with a position in no particular order.
+    fn answer_any(&mut self) {
+        if self.running.is_empty() {
+            return;
+        }
+        let nth = self.below(self.running.len() as u64) as usize;
+        let id = *self.running.keys().nth(nth).unwrap();
+        let Running { client, request } = self.running.remove(&id).unwrap();
+        let writes = request.class == class_index(WRITE);
+        let fails = self.below(8) == 0;
+        let lowest = if writes { 1 } else { FIRST_POSITION_OF_READS };
+        let position = lowest + self.below(1000);
+        let bytes = match fails {
+            true => message(backend::ERROR_RESPONSE, b"\0"),
+            false => message(backend::DATA_ROW, &vec![0; self.below(3000) as usize]),
+        };
+        if writes && !fails {
+            let last = self.confirmed.entry((request.session, request.group)).or_default();
+            *last = position.max(*last);
+        }
+        assert_eq!(self.registry.close(id), Some(client));
+        let answer = FinalAnswer::Served(MemberResponse { bytes, position: Some(position) });
+        let effects = self.manager.answer(&mut self.registry, 0, client, id, answer);
+        self.apply(effects);
+    }
+
+    fn step(&mut self) {
+        let client = 1 + self.below(CONNECTIONS);
+        match self.below(20) {
+            0 => {
+                self.handle(client, ClientEvent::Disconnected);
+                self.connect(client);
+            }
+            1..10 => self.send(client),
+            _ => self.answer_any(),
+        }
+    }
+}
+
+fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    put_message(&mut bytes, tag, &[body]);
+    bytes
+}
+
+fn config() -> ExtendedListenerConfig {
+    ExtendedListenerConfig {
+        listen: ([127, 0, 0, 1], 0).into(),
+        read_class: OWN.to_string(),
+        write_class: WRITE.to_string(),
+        group: 0,
+        wait_ms: 1000,
+        session_parameter: 1,
+        statements: 8,
+    }
+}
+
+fn class_index(name: &str) -> usize {
+    settings().class(name.as_bytes()).unwrap()
+}
+
+fn settings() -> Settings {
+    let class = |requirement| Class {
+        requirement,
+        idempotency: Idempotency::Idempotent,
+        latency_objective: 200_000,
+        deadline: 800_000,
+        priority_weight: 1.0,
+        late_value: 0.0,
+    };
+    let classes = [Requirement::ReadYourWrites, Requirement::Any, Requirement::Write].map(class);
+    let class_names = [OWN, ANY, WRITE].map(String::from);
+    Settings { classes: classes.into(), class_names: class_names.into(), ..Settings::default() }
+}
+
+/// Guards against a session that forgets a commit: answers of reads, answers out of order, errors, replies that
+/// are replaced by errors, other groups, and connections that end must not hide it.
+#[test]
+fn a_sessions_knowledge_of_its_commits_never_goes_backward() {
+    for seed in 1..=50 {
+        let mut harness = Harness::new(seed);
+        (0..STEPS).for_each(|_| harness.step());
+        assert!(harness.own_reads > 10, "seed {seed}: only {} reads of own writes", harness.own_reads);
+    }
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 mod process_pause;
 mod request;
+mod session;
 mod settings;
 mod settings_document;
 
@@ -16,6 +17,7 @@
 pub use event::{Action, Event, GiveUpReason};
 pub use process_pause::process_pause_margin;
 pub use request::{AttemptResult, Class, Idempotency, Outcome, Request, RequestId, Requirement};
+pub use session::SessionInGroup;
 pub use settings::{Settings, StaleReadBehavior};
 pub use settings_document::SettingsError;
 
--- a/src/model/request.rs
+++ b/src/model/request.rs
@@ -1,6 +1,6 @@
 //! Client requests, their classes, and the attempts made for them.
 
-use crate::{EndpointId, GroupId, LoadReport, Micros, ResponseMetadata, Role};
+use crate::{EndpointId, GroupId, LoadReport, Micros, ResponseMetadata, Role, SessionInGroup};
 
 /// The number of a client request. A host never reuses a number.
 pub type RequestId = u32;
@@ -96,6 +96,13 @@
     pub is_retry: bool,
 }
 
+impl Request {
+    /// The session of the client in the group of the request.
+    pub fn session_in_group(&self) -> SessionInGroup {
+        SessionInGroup { session: self.session, group: self.group }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/net/member/load_report.rs
+++ b/src/net/member/load_report.rs
@@ -62,7 +62,7 @@
 
     /// Creates the result of a job with these bytes as its response.
     pub(super) fn into_job_result(self, outcome: Outcome, bytes: Vec<u8>) -> JobResult<MemberResponse> {
-        let response = MemberResponse { bytes, commit_position: self.metadata.position };
+        let response = MemberResponse { bytes, position: self.metadata.position };
         JobResult { outcome, metadata: self.metadata, report: self.report, answer: Some(response) }
     }
 }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -11,5 +11,6 @@
 mod platform;
 mod races;
 mod random_faults;
+mod session_commits;
 mod support;
 mod system_calls;
--- a/tests/proxy/support/member.rs
+++ b/tests/proxy/support/member.rs
@@ -78,6 +78,8 @@
     /// The number of held replies that may be sent.
     released_replies: Arc<(Mutex<usize>, Condvar)>,
     replication_lag_ms: Arc<AtomicU64>,
+    /// The position that the member reports whatever the time is; 0 for none.
+    fixed_position_ms: Arc<AtomicU64>,
     connections: Arc<AtomicU64>,
 }
 
@@ -94,6 +96,7 @@
             greetings_held: Arc::default(),
             released_replies: Arc::default(),
             replication_lag_ms: Arc::default(),
+            fixed_position_ms: Arc::default(),
             connections: Arc::default(),
         };
         let listening = member.clone();
@@ -133,6 +136,12 @@
         self.replication_lag_ms.store(millis, Ordering::SeqCst);
     }
 
+    /// Sets the position that the member reports from now on, in milliseconds since the Unix epoch; `None` for
+    /// the time less the lag.
+    pub fn fix_position_ms(&self, position: Option<u64>) {
+        self.fixed_position_ms.store(position.unwrap_or(0), Ordering::SeqCst);
+    }
+
     /// Appends the behavior for further requests, one per request, to the plan.
     pub fn plan(&self, behaviors: &[MemberBehavior]) {
         self.record.lock().unwrap().plan.extend(behaviors);
@@ -208,6 +217,10 @@
     /// Returns the replication position of the member: the time up to which it has the data, in milliseconds
     /// since the Unix epoch.
     pub fn position_ms(&self) -> u64 {
+        let fixed = self.fixed_position_ms.load(Ordering::SeqCst);
+        if fixed > 0 {
+            return fixed;
+        }
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         now - self.replication_lag_ms.load(Ordering::SeqCst)
     }
