The router's memory of sessions keeps the latest commit, for each group, also of late answers

What a caller would have seen: a read of own writes without a write that the session had the answer to (WIRE, rule 5: it must see the writes "whose 200 (ok) this instance received, since its start").

Causes: `SessionCommits::record` replaced the last commit by whichever answer came last, also that of an earlier commit or of a repeated write, whose answer holds the commit of its first run. There was one entry a session, so a commit in one group hid that in another, and was dropped once every member of the *other* group had it. `continue_request` recorded a commit only while the request was pending, so one that was answered after the client had gone was never remembered.

Now commits are kept for each session and group, the latest position stays, and the commit is recorded from the attempt, which knows its session.

Tests, red before (the two of the policy; the third does not compile there: one entry a session) and green after: freshness::a_commit_that_is_answered_late_does_not_hide_a_later_commit_of_its_session, freshness::a_commit_that_is_answered_after_its_client_has_disconnected_is_remembered, state::the_last_commit_of_a_session_is_remembered_for_each_group.

--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -2,7 +2,7 @@
 //! request.
 
 use crate::Router;
-use crate::model::{AttemptResult, EndpointState, Idempotency, Outcome, Requirement, Role};
+use crate::model::{AttemptResult, EndpointState, Idempotency, Outcome, Requirement, Role, SessionInGroup};
 use crate::state::{EndpointIndex, Failure, OutstandingAttempt};
 
 impl Router {
@@ -24,6 +24,7 @@
         self.topology.record_response(index, &result, position_after, is_usable, self.now);
         self.apply_clock_changes();
         self.record_outcome(index, attempt, &result);
+        self.record_commit(index, attempt, &result);
         self.update_indexes(index);
         self.continue_request(index, attempt, &result, unloaded);
         self.resume_held_in_group(group, primary_before);
@@ -60,6 +61,18 @@
         }
     }
 
+    /// Records the commit of a served write, which later reads of its session must see. This does not depend
+    /// on the request: it may have had its final answer, or its client may have disconnected.
+    fn record_commit(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
+        let writes = self.settings.classes[attempt.class].requirement == Requirement::Write;
+        let is_commit = writes && result.outcome == Outcome::Ok;
+        if is_commit && self.settings.remember_commits && attempt.session != 0 {
+            let group = self.topology[index].group;
+            let position = result.metadata.position.unwrap_or(self.topology.group_time(group, self.now));
+            self.commits.record(SessionInGroup { session: attempt.session, group }, position);
+        }
+    }
+
     /// Returns whether an attempt that timed out was lost: the endpoint has answered another attempt without
     /// queueing that was sent more than half the latency objective later.
     fn is_lost(&self, index: EndpointIndex, attempt: OutstandingAttempt) -> bool {
@@ -93,17 +106,11 @@
     ) {
         let Some(pending) = self.requests.get_mut(&result.request) else { return };
         let class = &self.settings.classes[attempt.class];
-        let (outcome, session) = (result.outcome, pending.request.session);
+        let outcome = result.outcome;
         pending.in_flight = None;
         if outcome == Outcome::LocalError && !result.finished {
             return self.retry_after_local_error(result.request, index);
         }
-        let is_commit = outcome == Outcome::Ok && class.requirement == Requirement::Write;
-        if is_commit && self.settings.remember_commits && session != 0 {
-            let group = self.topology[index].group;
-            let position = result.metadata.position.unwrap_or(self.topology.group_time(group, self.now));
-            self.commits.record(session, group, position);
-        }
         if outcome.may_have_run() {
             pending.record_possible_run(attempt.sent_at);
         }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -151,7 +151,7 @@
     /// Sends an attempt of a request to an endpoint.
     fn send(&mut self, id: RequestId, index: EndpointIndex, exploratory: bool) {
         let Some(pending) = self.requests.get(&id) else { return };
-        let class = pending.request.class;
+        let Request { class, session, .. } = pending.request;
         let timeout = self.attempt_timeout(pending, exploratory);
         let start_within = self.start_within(class, index);
         self.charge_slow_start(index, class);
@@ -161,7 +161,8 @@
         endpoint.last_send_number = self.sends;
         endpoint.last_sent_at = self.now;
         endpoint.next_trial_at = endpoint.next_trial_at.max(self.now + health::TRIAL_INTERVAL);
-        endpoint.outstanding.push(OutstandingAttempt { request: id, attempt, class, sent_at: self.now });
+        let sent_at = self.now;
+        endpoint.outstanding.push(OutstandingAttempt { request: id, attempt, class, session, sent_at });
         self.actions.push(Action::Send { request: id, endpoint: endpoint.id, timeout, start_within });
     }
 
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -11,6 +11,7 @@
     pub(crate) request: RequestId,
     pub(crate) attempt: u32,
     pub(crate) class: usize,
+    pub(crate) session: u64,
     pub(crate) sent_at: Micros,
 }
 
--- a/src/state/session_commits.rs
+++ b/src/state/session_commits.rs
@@ -1,31 +1,28 @@
 //! The last commits of sessions, for settings under which the router, and not the client, remembers them.
 
-use crate::{GroupId, Micros, Request, Requirement, Settings};
+use crate::{GroupId, Micros, Request, Requirement, SessionInGroup, Settings};
 use std::collections::BTreeMap;
 
 /// The number of commits above which those that every member of their group has applied are dropped.
 const CAPACITY: usize = 20_000;
 
-struct Commit {
-    group: GroupId,
-    position: Micros,
-}
-
-/// The last commit of each session.
+/// The last commit of each session in each group.
 #[derive(Default)]
 pub(crate) struct SessionCommits {
-    by_session: BTreeMap<u64, Commit>,
+    positions: BTreeMap<SessionInGroup, Micros>,
 }
 
 impl SessionCommits {
-    /// Records the last commit of a session.
-    pub(crate) fn record(&mut self, session: u64, group: GroupId, position: Micros) {
-        self.by_session.insert(session, Commit { group, position });
+    /// Records a commit of a session. Answers may arrive in another order than that of the commits, and the
+    /// answer to a repeated write holds the commit of its first run, so a later position is kept.
+    pub(crate) fn record(&mut self, session: SessionInGroup, position: Micros) {
+        let last = self.positions.entry(session).or_default();
+        *last = position.max(*last);
     }
 
-    /// The position of the session's last commit; 0 if none is recorded.
-    pub(crate) fn position(&self, session: u64) -> Micros {
-        self.by_session.get(&session).map_or(0, |commit| commit.position)
+    /// The position of a session's last commit; 0 if none is recorded.
+    pub(crate) fn position(&self, session: SessionInGroup) -> Micros {
+        self.positions.get(&session).copied().unwrap_or(0)
     }
 
     /// The position that an endpoint must have reached to serve a request that arrives when its group's clock
@@ -39,7 +36,9 @@
     ) -> Micros {
         match settings.classes[request.class].requirement {
             Requirement::Latest => group_time,
-            Requirement::ReadYourWrites if settings.remember_commits => self.position(request.session),
+            Requirement::ReadYourWrites if settings.remember_commits => {
+                self.position(request.session_in_group())
+            }
             Requirement::ReadYourWrites => {
                 let last_write = request.time_since_write.map(|elapsed| group_time.saturating_sub(elapsed));
                 request.min_position.or(last_write).unwrap_or(0)
@@ -51,8 +50,8 @@
     /// Drops the commits that every member of their group has applied, once more than `CAPACITY` commits are
     /// recorded.
     pub(crate) fn prune(&mut self, is_applied_everywhere: impl Fn(GroupId, Micros) -> bool) {
-        if self.by_session.len() > CAPACITY {
-            self.by_session.retain(|_, commit| !is_applied_everywhere(commit.group, commit.position));
+        if self.positions.len() > CAPACITY {
+            self.positions.retain(|session, position| !is_applied_everywhere(session.group, *position));
         }
     }
 }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -3,7 +3,7 @@
 use super::endpoint_table::EndpointTable;
 use super::*;
 use crate::estimators::GroupClock;
-use crate::{EndpointEntry, EndpointId, EndpointState, Micros, Role};
+use crate::{EndpointEntry, EndpointId, EndpointState, Micros, Role, SessionInGroup};
 
 const SECOND: Micros = 1_000_000;
 
@@ -46,7 +46,7 @@
     let mut table = EndpointTable::default();
     let index = add(&mut table, 1, 0);
     table.set_state(index, EndpointState::Removed);
-    let attempt = OutstandingAttempt { request: 1, attempt: 0, class: 0, sent_at: 0 };
+    let attempt = OutstandingAttempt { request: 1, attempt: 0, class: 0, session: 0, sent_at: 0 };
     table[index].outstanding.push(attempt);
     assert_ne!(add(&mut table, 2, 100 * SECOND), index);
 }
@@ -73,14 +73,26 @@
 
 #[test]
 fn commits_that_all_members_have_are_dropped_above_the_capacity() {
+    let in_group = |session| SessionInGroup { session, group: 1 };
     let mut commits = SessionCommits::default();
-    (1..=20_000).for_each(|session| commits.record(session, 1, session * SECOND));
+    (1..=20_000).for_each(|session| commits.record(in_group(session), session * SECOND));
     commits.prune(|_, position| position <= 19_999 * SECOND);
-    assert_eq!(commits.position(7), 7 * SECOND, "up to the capacity no commit is dropped");
-    commits.record(20_001, 1, 20_001 * SECOND);
+    assert_eq!(commits.position(in_group(7)), 7 * SECOND, "up to the capacity no commit is dropped");
+    commits.record(in_group(20_001), 20_001 * SECOND);
     commits.prune(|_, position| position <= 19_999 * SECOND);
-    assert_eq!(commits.position(7), 0);
-    assert_eq!(commits.position(20_000), 20_000 * SECOND);
+    assert_eq!(commits.position(in_group(7)), 0);
+    assert_eq!(commits.position(in_group(20_000)), 20_000 * SECOND);
+}
+
+/// Guards against the loss of a session's commit to one in another group, whose clock may be behind.
+#[test]
+fn the_last_commit_of_a_session_is_remembered_for_each_group() {
+    let in_group = |group| SessionInGroup { session: 7, group };
+    let mut commits = SessionCommits::default();
+    commits.record(in_group(1), 9 * SECOND);
+    commits.record(in_group(2), 5 * SECOND);
+    commits.record(in_group(2), 4 * SECOND);
+    assert_eq!([1, 2, 3].map(|group| commits.position(in_group(group))), [9 * SECOND, 5 * SECOND, 0]);
 }
 
 /// If the list moves an endpoint to another group, the endpoint must not remain a member, or the primary, of
--- a/tests/policy/freshness.rs
+++ b/tests/policy/freshness.rs
@@ -77,6 +77,54 @@
     assert_eq!(sent_to(&harness.handle(Event::Request(other))), Some(2));
 }
 
+/// A primary, endpoint 1, and a replica whose position is known, in a router that remembers commits.
+fn harness_that_remembers_commits() -> RouterHarness {
+    let settings = Settings { remember_commits: true, ..settings_with_stale_reads() };
+    let mut harness = RouterHarness::with_known_roles(settings, 2);
+    harness.advance(1000 * MS);
+    harness
+}
+
+/// A request of the session that the tests of remembered commits use.
+fn of_session(id: u32, class: usize) -> Event {
+    Event::Request(Request { session: 7, ..request(id, class) })
+}
+
+/// Answers a write with this commit position; `finished` means that the client no longer waits for the answer.
+fn answer_write(harness: &mut RouterHarness, id: u32, commit: Micros, finished: bool) {
+    let metadata = ResponseMetadata { role: Some(Role::Primary), position: Some(commit) };
+    let result = AttemptResult { metadata, finished, ..attempt_result(id, 0, 1, Outcome::Ok) };
+    harness.handle(Event::AttemptEnded(result));
+}
+
+/// Guards against the loss of a session's commit to an earlier one whose answer arrives later.
+#[test]
+fn a_commit_that_is_answered_late_does_not_hide_a_later_commit_of_its_session() {
+    let mut harness = harness_that_remembers_commits();
+    harness.handle(of_session(1, WRITE));
+    harness.handle(of_session(2, WRITE));
+    harness.advance(100 * MS);
+    let later = harness.now;
+    answer_write(&mut harness, 2, later, true);
+    answer_write(&mut harness, 1, later - 50 * MS, true);
+    harness.report(2, Role::Replica, later - 20 * MS);
+    assert_eq!(sent_to(&harness.handle(of_session(3, READ_YOUR_WRITES))), Some(1));
+}
+
+/// Guards against the loss of a commit whose answer arrives after the client has disconnected: the session may
+/// go on with another connection, and this router has received the answer.
+#[test]
+fn a_commit_that_is_answered_after_its_client_has_disconnected_is_remembered() {
+    let mut harness = harness_that_remembers_commits();
+    harness.handle(of_session(1, WRITE));
+    harness.handle(Event::ClientDisconnected(1));
+    harness.advance(100 * MS);
+    let commit = harness.now;
+    answer_write(&mut harness, 1, commit, true);
+    harness.report(2, Role::Replica, commit - 20 * MS);
+    assert_eq!(sent_to(&harness.handle(of_session(2, READ_YOUR_WRITES))), Some(1));
+}
+
 #[test]
 fn reads_go_only_to_endpoints_known_to_be_fresh_where_endpoints_serve_stale_data() {
     let mut harness =
