Portals and prepared statements are held within a part of the memory for each client

Cause: `Session::portals` keeps each portal's name and arguments up to the next Sync, with no bound on number or bytes; the limits on a batch (256 KiB, 1,024 messages) end with each Flush.

Now a batch that ends with a Flush counts the portals that outlive it, with the statements, in a budget of all clients (`MemoryBudget`): an eighth of the memory limit is guaranteed in equal parts, a sixteenth is free to whoever comes first, 256 KiB at most for one client. A batch over that is answered 53200, its transaction ends, and other clients are not affected. A failed batch with a Flush drops its portals, as PostgreSQL does; before they stayed up to the Sync.

The same cause beside it: a statement counted with its text alone, not with its name (up to 256 KB each) or its parameter types (as much), neither for the client's limits nor on member connections. Both count now.

--- a/src/extended/batch.rs
+++ b/src/extended/batch.rs
@@ -23,6 +23,11 @@
 }
 
 impl PreparedStatement {
+    /// The length of the text and the parameter types.
+    pub fn bytes(&self) -> usize {
+        self.sql.len() + self.parameter_types.len()
+    }
+
     /// Returns the statement with `timeout_ms` as the timeout in its text. A statement without a timeout
     /// stays as it is.
     pub(super) fn with_timeout(self: &Arc<Self>, timeout_ms: u64) -> Arc<PreparedStatement> {
@@ -54,7 +59,7 @@
         /// The statement that the portal executes.
         statement: Arc<PreparedStatement>,
         /// The part of the Bind message after the names: formats and parameter values, as received.
-        arguments: Vec<u8>,
+        arguments: Arc<[u8]>,
         /// Whether the member's BindComplete is forwarded to the client. `false` for a portal that is bound
         /// again after a Flush, because the client has received its BindComplete.
         reply_forwarded: bool,
--- a/src/extended/statement_cache.rs
+++ b/src/extended/statement_cache.rs
@@ -6,7 +6,7 @@
 
 /// The maximum number of statements that stay prepared on one member connection.
 const MAX_STATEMENTS: usize = 128;
-/// The maximum total length of the texts of the statements that stay prepared on one member connection.
+/// The maximum total length of the texts and parameter types of the statements that stay prepared on one member connection.
 const MAX_STATEMENT_BYTES: usize = 128 * 1024;
 
 /// The statements that are prepared on one member connection. Their names are chosen by the proxy and never
@@ -17,7 +17,7 @@
     /// The number of lookups. The number of a lookup is part of the name of a statement that it adds, and
     /// orders the statements by their last use.
     lookups: u64,
-    /// The total length of the statement texts in `entries`.
+    /// The total length of the texts and parameter types in `entries`.
     bytes: usize,
 }
 
@@ -56,14 +56,14 @@
         }
         let evicted = self.evict_for(statement);
         self.entries.insert(statement.clone(), CacheEntry { name_number: lookup, last_used: lookup });
-        self.bytes += statement.sql.len();
+        self.bytes += statement.bytes();
         CacheLookup::Miss { name: name_at_member(lookup), evicted }
     }
 
     /// Removes a statement that the member has not prepared, because it rejected or skipped the Parse.
     pub(super) fn remove(&mut self, statement: &Arc<PreparedStatement>) {
         if self.entries.remove(statement).is_some() {
-            self.bytes -= statement.sql.len();
+            self.bytes -= statement.bytes();
         }
     }
 
@@ -86,7 +86,7 @@
     }
 
     fn fits(&self, statement: &PreparedStatement) -> bool {
-        self.entries.len() < MAX_STATEMENTS && self.bytes + statement.sql.len() <= MAX_STATEMENT_BYTES
+        self.entries.len() < MAX_STATEMENTS && self.bytes + statement.bytes() <= MAX_STATEMENT_BYTES
     }
 
     fn evict_least_recently_used(&mut self) -> Option<String> {
--- a/src/extended/tests.rs
+++ b/src/extended/tests.rs
@@ -16,7 +16,7 @@
     ExtendedMessage::Bind {
         portal: Vec::new(),
         statement: statement.clone(),
-        arguments: vec![0; 6],
+        arguments: vec![0; 6].into(),
         reply_forwarded: true,
     }
 }
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -38,14 +38,8 @@
 
 impl<P: Protocol> Connection<P> {
     /// Creates the state of a connection that has just been opened.
-    pub fn new(secret: u32, now: Micros) -> Self {
-        Connection {
-            secret,
-            has_requested: false,
-            pipeline: Pipeline::default(),
-            idle_since: now,
-            session: P::Session::default(),
-        }
+    pub fn new(secret: u32, now: Micros, session: P::Session) -> Self {
+        Connection { secret, has_requested: false, pipeline: Pipeline::default(), idle_since: now, session }
     }
 
     /// Whether all commands have been answered, so that the connection may be closed.
--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -157,7 +157,8 @@
         let mut effects = Vec::new();
         match event {
             ClientEvent::Connected { secret } => {
-                self.connections.insert(id, Connection::new(secret, now));
+                let session = self.protocol.new_session();
+                self.connections.insert(id, Connection::new(secret, now, session));
             }
             // A cancel request is valid even if its connection was rejected for lack of capacity.
             ClientEvent::Startup(StartupPacket::CancelRequest { process, secret }) => {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -18,6 +18,8 @@
     type Session = ();
     type Context = ();
 
+    fn new_session(&self) {}
+
     fn read_at(query: &SimpleQuery) -> Micros {
         query.received_at
     }
--- a/src/front/postgres/batch_planner.rs
+++ b/src/front/postgres/batch_planner.rs
@@ -8,10 +8,11 @@
 use crate::extended::ExtendedMessage;
 use crate::pg::message_tags::{describe_targets, frontend};
 use crate::pg::{self, statement};
+use std::sync::Arc;
 
-/// The maximum length of a prepared statement's text.
+/// The maximum length of a prepared statement's text and parameter types together.
 const MAX_STATEMENT_BYTES: usize = 32 * 1024;
-/// The maximum length of the texts of one client's prepared statements together.
+/// The maximum length of the texts and parameter types of one client's prepared statements together.
 const MAX_STATEMENT_BYTES_PER_CLIENT: usize = 128 * 1024;
 /// The length of a parameter's type number in a Parse.
 const TYPE_BYTES: usize = 4;
@@ -76,25 +77,25 @@
         if !is_parameter_type_list(parameter_types) {
             return Err(BatchError::MalformedMessage);
         }
-        self.check_may_prepare(name, sql)?;
+        self.check_may_prepare(name, sql.len() + parameter_types.len())?;
         let statement = self.analyzer.analyze(sql, parameter_types)?;
+        let parsed = self.session.prepare(name, statement.clone())?;
         self.recorder.record(&statement.prepared);
         self.plan.messages.push(ExtendedMessage::Parse(statement.prepared.clone()));
-        self.plan.statements.push(statement.clone());
-        self.plan.parsed.push(self.session.prepare(name, statement));
+        self.plan.statements.push(statement);
+        self.plan.parsed.push(parsed);
         Ok(())
     }
 
-    fn check_may_prepare(&self, name: &[u8], sql: &[u8]) -> Result<(), BatchError> {
-        let statements = &self.session.statements;
-        if !name.is_empty() && statements.contains_key(name) {
+    fn check_may_prepare(&self, name: &[u8], bytes: usize) -> Result<(), BatchError> {
+        if !name.is_empty() && self.session.statement(name).is_some() {
             return Err(BatchError::DuplicateStatement);
         }
-        let bytes = self.session.statement_bytes() + sql.len();
-        if statements.len() >= self.analyzer.config.statements || bytes > MAX_STATEMENT_BYTES_PER_CLIENT {
+        let is_full = self.session.statement_count() >= self.analyzer.config.statements;
+        if is_full || self.session.statement_text_bytes() + bytes > MAX_STATEMENT_BYTES_PER_CLIENT {
             return Err(BatchError::TooManyStatements);
         }
-        if sql.len() > MAX_STATEMENT_BYTES {
+        if bytes > MAX_STATEMENT_BYTES {
             return Err(BatchError::StatementTooLong);
         }
         Ok(())
@@ -108,17 +109,18 @@
         let session_key =
             self.session_parameter(&parameters).map_or(statement.session_key, statement::session_id);
         self.plan.set_session_key_if_unset(session_key);
+        let arguments: Arc<[u8]> = arguments.into();
         let bound = Portal {
             statement: statement.clone(),
             session_key,
-            arguments: arguments.to_vec(),
+            arguments: arguments.clone(),
             flushed: false,
         };
-        self.session.portals.insert(portal.to_vec(), bound);
+        self.session.bind(portal, bound);
         self.plan.messages.push(ExtendedMessage::Bind {
             portal: portal.to_vec(),
             statement: statement.prepared.clone(),
-            arguments: arguments.to_vec(),
+            arguments,
             reply_forwarded: true,
         });
         self.plan.statements.push(statement);
@@ -161,10 +163,10 @@
     fn add_close(&mut self, body: &[u8]) -> Result<(), BatchError> {
         let message = match parse_target(body)? {
             Target::Statement(name) => {
-                self.session.statements.remove(name);
+                self.session.close_statement(name);
                 ExtendedMessage::CloseStatement
             }
-            Target::Portal(name) => match self.session.portals.remove(name) {
+            Target::Portal(name) => match self.session.close_portal(name) {
                 Some(portal) if !portal.flushed => ExtendedMessage::ClosePortal(name.to_vec()),
                 // The member does not have the portal: the proxy sends CloseComplete itself, as for a
                 // statement.
@@ -176,14 +178,14 @@
     }
 
     fn statement(&self, name: &[u8]) -> Result<AnalyzedStatement, BatchError> {
-        let statement = self.session.statements.get(name).cloned();
+        let statement = self.session.statement(name).cloned();
         statement.ok_or_else(|| BatchError::unknown_statement(name))
     }
 
     /// Ensures that the portal exists at the member when a later message uses it: a portal that was bound
     /// before a Flush is bound again.
     fn ensure_bound(&mut self, name: &[u8]) -> Result<(), BatchError> {
-        let portal = self.session.portals.get_mut(name).ok_or_else(|| BatchError::unknown_portal(name))?;
+        let portal = self.session.portal_mut(name).ok_or_else(|| BatchError::unknown_portal(name))?;
         if portal.flushed {
             portal.flushed = false;
             self.plan.set_session_key_if_unset(portal.session_key);
--- a/src/front/postgres/error.rs
+++ b/src/front/postgres/error.rs
@@ -1,5 +1,6 @@
 //! The errors with which the proxy itself rejects a batch.
 
+use crate::memory_budget::OverBudget;
 use crate::pg::sqlstate;
 
 /// The reason why a batch was rejected without a member. The text is sent to the client.
@@ -41,6 +42,9 @@
     /// The text of a statement is too long to be prepared.
     #[error("statement too long to prepare")]
     StatementTooLong,
+    /// The client's prepared statements and portals exceed its part of the memory.
+    #[error("the prepared statements and portals of this connection exceed its part of the memory")]
+    OverMemory(#[from] OverBudget),
     /// There is no prepared statement of this name.
     #[error("no prepared statement \"{name}\"")]
     UnknownStatement {
@@ -70,6 +74,7 @@
             | BatchError::ExecuteAfterFlush => sqlstate::FEATURE_NOT_SUPPORTED,
             BatchError::DuplicateStatement => sqlstate::DUPLICATE_PREPARED_STATEMENT,
             BatchError::TooManyStatements | BatchError::StatementTooLong => sqlstate::PROGRAM_LIMIT_EXCEEDED,
+            BatchError::OverMemory(_) => sqlstate::OUT_OF_MEMORY,
             BatchError::UnknownStatement { .. } => sqlstate::INVALID_SQL_STATEMENT_NAME,
             BatchError::UnknownPortal { .. } => sqlstate::INVALID_CURSOR_NAME,
             BatchError::OutOfService => sqlstate::CANNOT_CONNECT_NOW,
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -27,6 +27,7 @@
 use crate::core::FinalAnswer;
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::extended::ExtendedBatch;
+use crate::memory_budget::{HeldBytes, MemoryBudget};
 use crate::pg::message_tags::backend;
 use crate::pg::{self, statement};
 use crate::store::Change;
@@ -61,15 +62,23 @@
     analyzer: StatementAnalyzer,
     commits: SessionCommits,
     recorder: StatementRecorder,
+    /// The memory of the statements and portals of all clients.
+    session_memory: Arc<MemoryBudget>,
 }
 
 impl Postgres {
-    /// Creates a front with the defaults of `config`. Fails if a default class does not exist.
-    pub fn new(config: ExtendedListenerConfig, settings: Arc<Settings>) -> Result<Self, UnknownClassError> {
+    /// Creates a front with the defaults of `config`, and with this budget for the prepared statements and
+    /// portals of all clients. Fails if a default class does not exist.
+    pub fn new(
+        config: ExtendedListenerConfig,
+        settings: Arc<Settings>,
+        session_memory: Arc<MemoryBudget>,
+    ) -> Result<Self, UnknownClassError> {
         Ok(Postgres {
             analyzer: StatementAnalyzer::new(config, settings)?,
             commits: SessionCommits::default(),
             recorder: StatementRecorder::default(),
+            session_memory,
         })
     }
 
@@ -134,9 +143,9 @@
             return Ok(CommandStep::Reply(reply));
         }
         let executes = plan.executes();
-        if executes && session.executed_before_flush {
+        if let Err(error) = check_flush(session, batch.end, executes) {
             session.undo_parses(plan.parsed, 0);
-            return Err(BatchError::ExecuteAfterFlush);
+            return Err(error);
         }
         session.executed_before_flush |= executes;
         let statements = BatchStatements {
@@ -187,11 +196,26 @@
     }
 }
 
+/// Checks that a batch may be forwarded although a Flush precedes it, or ends it.
+fn check_flush(session: &mut Session, end: BatchEnd, executes: bool) -> Result<(), BatchError> {
+    if executes && session.executed_before_flush {
+        return Err(BatchError::ExecuteAfterFlush);
+    }
+    if end == BatchEnd::Flush {
+        session.keep_portals()?;
+    }
+    Ok(())
+}
+
 impl Protocol for Postgres {
     type Command = ClientBatch;
     type Session = Session;
     type Context = BatchContext;
 
+    fn new_session(&self) -> Session {
+        Session::new(HeldBytes::new(self.session_memory.clone()))
+    }
+
     fn read_at(batch: &ClientBatch) -> Micros {
         batch.received_at
     }
@@ -221,8 +245,7 @@
         }
         self.start_batch(session, &batch, service).unwrap_or_else(|error| {
             pg::put_error_response(&mut reply, "ERROR", error.sqlstate(), &error.to_string(), None);
-            session.skipping_until_sync = batch.end == BatchEnd::Flush;
-            session.end_batch(batch.end, &mut reply);
+            session.fail_batch(batch.end, &mut reply);
             CommandStep::Reply(reply)
         })
     }
@@ -253,8 +276,9 @@
         append_final_answer(&mut reply, &answer);
         let ReplySummary { parse_completes, has_error } = ReplySummary::of(&reply);
         session.undo_parses(context.parsed, if has_error { parse_completes } else { usize::MAX });
-        session.skipping_until_sync |= has_error && context.end == BatchEnd::Flush;
-        if context.end == BatchEnd::Flush {
+        if context.end == BatchEnd::Flush && has_error {
+            session.fail_batch(context.end, &mut reply);
+        } else if context.end == BatchEnd::Flush {
             session.end_batch(context.end, &mut reply);
         } else {
             // `Session::end_transaction` was called when this batch was started. The session may now hold the
--- a/src/front/postgres/session_commits/tests.rs
+++ b/src/front/postgres/session_commits/tests.rs
@@ -5,6 +5,7 @@
 use crate::exchange::MemberResponse;
 use crate::front::postgres::{ExtendedListenerConfig, Postgres};
 use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
+use crate::memory_budget::MemoryBudget;
 use crate::pg::message_tags::{backend, frontend};
 use crate::pg::put_message;
 use crate::random::RandomSource;
@@ -43,7 +44,8 @@
 
 impl Harness {
     fn new(seed: u64) -> Harness {
-        let postgres = Postgres::new(config(), Arc::new(settings())).unwrap();
+        let postgres =
+            Postgres::new(config(), Arc::new(settings()), MemoryBudget::new(1 << 20, 0, 1)).unwrap();
         let mut harness = Harness {
             manager: ConnectionManager::new(postgres, 4000),
             registry: RequestRegistry::default(),
--- a/src/front/postgres/tests.rs
+++ b/src/front/postgres/tests.rs
@@ -57,14 +57,14 @@
 fn undone_parse_restores_the_previous_statement_unless_prepared_anew() {
     let analyzer = analyzer();
     let analyze_text = |sql: &str| analyzer.analyze(sql.as_bytes(), &[]).ok().unwrap();
-    let text = |session: &Session| session.statements[b"".as_slice()].prepared.sql.clone();
-    let mut session = Session::default();
-    session.prepare(b"", analyze_text("select 1"));
-    let second = session.prepare(b"", analyze_text("select 2"));
+    let text = |session: &Session| session.statement(b"").unwrap().prepared.sql.clone();
+    let mut session = Session::new(HeldBytes::new(MemoryBudget::new(4096, 0, 1)));
+    session.prepare(b"", analyze_text("select 1")).unwrap();
+    let second = session.prepare(b"", analyze_text("select 2")).unwrap();
     session.undo_parses(vec![second], 0);
     assert_eq!(text(&session), b"select 1");
-    let third = session.prepare(b"", analyze_text("select 3"));
-    session.prepare(b"", analyze_text("select 4"));
+    let third = session.prepare(b"", analyze_text("select 3")).unwrap();
+    session.prepare(b"", analyze_text("select 4")).unwrap();
     session.undo_parses(vec![third], 0);
     assert_eq!(text(&session), b"select 4");
 }
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -33,10 +33,13 @@
     /// A command, as the reactor thread of the client connections reports it.
     type Command;
     /// The state that a connection keeps from command to command.
-    type Session: Default;
+    type Session;
     /// The context of a request, which its reply depends on.
     type Context;
 
+    /// Creates the state of a new connection.
+    fn new_session(&self) -> Self::Session;
+
     /// The time at which the command's last byte was read.
     fn read_at(command: &Self::Command) -> Micros;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 mod exchange;
 mod extended;
 mod front;
+mod memory_budget;
 mod model;
 mod net;
 mod pg;
--- a/src/pg/sqlstate.rs
+++ b/src/pg/sqlstate.rs
@@ -19,5 +19,7 @@
 pub const INVALID_SQL_STATEMENT_NAME: &str = "26000";
 /// No portal has that name.
 pub const INVALID_CURSOR_NAME: &str = "34000";
+/// A connection holds more than its part of the memory.
+pub const OUT_OF_MEMORY: &str = "53200";
 /// A limit of the listener on prepared statements is exceeded.
 pub const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -12,6 +12,7 @@
 use crate::config::Config;
 use crate::core::Core;
 use crate::front::postgres::{ExtendedListenerConfig, Postgres};
+use crate::memory_budget::MemoryBudget;
 use crate::net::admin::{self, CallSink, LoopUnavailable};
 use crate::net::client::{self, ClientListener, ClientReactor, ReactorEvent, ReactorLimits};
 use crate::net::discovery::DiscoveryKind;
@@ -28,6 +29,12 @@
 const MESSAGE_QUEUE_CAPACITY: usize = 1024;
 /// Each limit on buffers of all clients together is the memory limit divided by this.
 const BUFFER_MEMORY_DIVISOR: usize = 8;
+/// The memory limit divided by this is what the prepared statements and portals of all clients may take before
+/// a client may not exceed its part.
+const SHARED_SESSION_MEMORY_DIVISOR: usize = 16;
+/// The memory limit divided by this is guaranteed to the prepared statements and portals of the clients, in
+/// equal parts.
+const GUARANTEED_SESSION_MEMORY_DIVISOR: usize = 8;
 
 /// Why the server could not be started.
 #[derive(Debug, thiserror::Error)]
@@ -95,6 +102,13 @@
     }
 }
 
+/// The budget for the prepared statements and portals of this many clients.
+fn session_memory(memory_bytes: usize, clients: usize) -> Arc<MemoryBudget> {
+    let shared = memory_bytes / SHARED_SESSION_MEMORY_DIVISOR;
+    let guaranteed = memory_bytes / GUARANTEED_SESSION_MEMORY_DIVISOR;
+    MemoryBudget::new(shared, guaranteed, clients)
+}
+
 /// The kind of discovery service that the settings specify.
 fn discovery_kind(settings: &Settings) -> DiscoveryKind {
     match settings.list_on_request {
@@ -143,7 +157,9 @@
             DescriptorBudget::new(config.max_descriptors, config.admin_listen.is_some(), inherited_listener);
         let buffer_bytes = config.memory_bytes / BUFFER_MEMORY_DIVISOR;
         let settings = Arc::new(config.settings.clone());
-        let postgres = extended.map(|listen| Postgres::new(listen, settings.clone())).transpose();
+        let session_memory = session_memory(config.memory_bytes, budget.clients);
+        let postgres =
+            extended.map(|listen| Postgres::new(listen, settings.clone(), session_memory)).transpose();
         let postgres = postgres.map_err(std::io::Error::other)?;
         let reducer = Core::new(config.settings.clone(), config.seed, clock.now(), budget.member_connections);
         let (alive, clients_closed) = bounded(0);
--- a/tests/proxy/extended.rs
+++ b/tests/proxy/extended.rs
@@ -231,3 +231,43 @@
     assert_snapshot!(run_batch(&mut client, "CS s0 | S"), @"3 Z");
     assert_snapshot!(run_batch(&mut client, &format!("{READ} | S")), @"1 Z");
 }
+
+#[test]
+fn portals_that_outlive_their_batch_are_bounded_and_end_with_an_error() {
+    let (_primary, _replica, proxy) = start_pair();
+    let (mut client, mut other) = (proxy.connect_extended(), proxy.connect_extended());
+    let value = "7".repeat(62_000);
+    assert_eq!(run_batch(&mut client, &format!("{READ} | S")), "1 Z");
+    let portal = |name: &str| format!("B {name} r {value}");
+    let four_portals = ["a", "b", "c", "d"].map(portal).join("|");
+    assert_eq!(run_batch(&mut client, &format!("{four_portals} | S")), "2 2 2 2 Z", "a Sync ends them");
+    for _ in 0..2 {
+        client.send(&extended_messages(&format!("{four_portals} | H")));
+        assert_eq!(client.read_reply_until(|tag| tag == b'2'), "2");
+        client.send(&extended_messages(&format!("{} | H", portal("e"))));
+        assert_eq!(client.read_reply_until(|tag| tag == b'E'), "2 2 2 E(53200)");
+        client.send(&extended_messages("E a | H"));
+        assert_eq!(run_batch(&mut other, &format!("{READ} | B - r | E - | S")), "1 2 D(value) C Z");
+        other.send(&extended_messages("CS r | S"));
+        assert_eq!(other.read_reply(), "3 Z");
+        assert_eq!(run_batch(&mut client, "E a | S"), "Z", "messages up to the Sync are skipped");
+        assert_eq!(run_batch(&mut client, "E a | S"), "E(34000) Z", "the portals have ended");
+    }
+}
+
+#[test]
+fn prepared_statements_are_bounded_with_their_names_and_parameter_types() {
+    let (_primary, _replica, proxy) = start_pair();
+    let mut client = proxy.connect_extended();
+    let long_name = "n".repeat(131_000);
+    assert_eq!(
+        run_batch(&mut client, &format!("{} | S", READ.replace("P r", &format!("P {long_name}")))),
+        "1 Z"
+    );
+    let another = READ.replace("P r", &format!("P m{long_name}"));
+    assert_eq!(run_batch(&mut client, &format!("{another} | S")), "E(53200) Z");
+    client.send(&parse_with_types("t", 9_000));
+    client.send(&extended_messages("S"));
+    assert_eq!(client.read_reply(), "E(54000) Z");
+    assert_eq!(run_batch(&mut client, &format!("{READ} | B - r | E - | S")), "1 2 D(value) C Z");
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod extended;
 mod fault_injection;
+mod memory_limits;
 mod operations;
 mod pipelining;
 mod platform;
--- /dev/null
+++ b/tests/proxy/memory_limits.rs
@@ -0,0 +1,150 @@
+//! Tests that the memory of the program stays under its limit while as many clients as its descriptors admit
+//! send a flood that the protocol allows, and that other clients are served meanwhile.
+
+use crate::support::*;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// The limits of the smallest proxies in service.
+const LIMITS: &str = "\"sockets\":256,\"memory_mb\":32";
+const MEMORY_LIMIT_KIB: u64 = 32 * 1024;
+/// The clients that the descriptors admit, less the ordinary ones.
+const FLOODING_CLIENTS: usize = 104;
+const ORDINARY_CLIENTS: usize = 4;
+const FLOOD_DURATION: Duration = Duration::from_secs(2);
+/// The time within which an ordinary client's request has to be served, with retries after rejections.
+const SERVE_TIMEOUT: Duration = Duration::from_secs(10);
+const READ: &str = "P s SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */";
+
+/// What the clients of a flood do.
+#[derive(Clone, Copy)]
+struct Flood {
+    /// Whether the clients connect to the extended listener.
+    extended: bool,
+    /// Returns what a client sends next, given how often it has sent before.
+    next: fn(usize) -> Vec<u8>,
+    /// The SQLSTATE of the error that the clients get.
+    error: &'static str,
+}
+
+/// A client that sends at full speed and reads what it is sent.
+struct FloodingClient {
+    stream: TcpStream,
+    unsent: Vec<u8>,
+    sent_count: usize,
+    is_open: bool,
+    got_error: bool,
+}
+
+impl FloodingClient {
+    fn connect(address: SocketAddr) -> FloodingClient {
+        let stream = Client::connect(address).stream;
+        stream.set_nonblocking(true).unwrap();
+        FloodingClient { stream, unsent: Vec::new(), sent_count: 0, is_open: true, got_error: false }
+    }
+
+    /// Sends and reads as much as the socket takes and has.
+    fn advance(&mut self, flood: Flood, read_buffer: &mut [u8]) {
+        if self.unsent.is_empty() {
+            self.unsent = (flood.next)(self.sent_count);
+            self.sent_count += 1;
+        }
+        match self.stream.write(&self.unsent) {
+            Ok(length) => drop(self.unsent.drain(..length)),
+            Err(error) => self.is_open &= error.kind() == ErrorKind::WouldBlock,
+        }
+        match self.stream.read(read_buffer) {
+            Ok(length) => {
+                let code = format!("\0C{}\0", flood.error);
+                let read = &read_buffer[..length];
+                self.got_error |= read.windows(code.len()).any(|window| window == code.as_bytes());
+                self.is_open &= length > 0;
+            }
+            Err(error) => self.is_open &= error.kind() == ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// Returns the highest memory that the program has used, in KiB.
+fn highest_memory_kib(proxy: &Proxy) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// Sends requests one at a time, and repeats those that were rejected without having been executed.
+fn run_ordinary_client(address: SocketAddr, extended: bool, number: usize, over: &AtomicBool) {
+    let mut client = Client::connect(address);
+    let mut id = number as u32 * 100_000;
+    let mut waiting_since = Instant::now();
+    while !over.load(Ordering::SeqCst) {
+        id += 1;
+        let reply = if extended {
+            client.send(&extended_messages(&format!("{} | B - - | E - | S", READ.replace("P s", "P -"))));
+            client.read_reply()
+        } else {
+            client.query(&read_query(id))
+        };
+        match reply.as_str() {
+            SERVED | "1 2 D(value) C Z" => waiting_since = Instant::now(),
+            rejected => assert_eq!(rejected, "E(53300) Z", "ordinary client {number}"),
+        }
+        assert!(waiting_since.elapsed() < SERVE_TIMEOUT, "ordinary client {number} is not served");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Plays a flood, and asserts that the memory stays under its limit, that the clients of the flood get their
+/// error, and that ordinary clients of both listeners are served.
+fn assert_flood_is_bounded(flood: Flood) {
+    let (primary, replica) = (MockMember::start(true), MockMember::start(false));
+    let shell = "exec \"$0\" serve --postgres \"$1\"";
+    let proxy = Proxy::start_with_limits(&[&primary, &replica], shell, "", LIMITS);
+    assert_eq!(proxy.connect().query(&write_query(0, 900)), SERVED);
+    let addresses = [proxy.address, proxy.extended_address.unwrap()];
+    let over = AtomicBool::new(false);
+    let clients = std::thread::scope(|scope| {
+        for number in 0..ORDINARY_CLIENTS {
+            let listener = number % addresses.len();
+            let over = &over;
+            scope.spawn(move || run_ordinary_client(addresses[listener], listener == 1, number, over));
+        }
+        let clients = run_flood(addresses[usize::from(flood.extended)], flood);
+        over.store(true, Ordering::SeqCst);
+        clients
+    });
+    let highest = highest_memory_kib(&proxy);
+    assert!(highest < MEMORY_LIMIT_KIB, "{highest} KiB used, {MEMORY_LIMIT_KIB} KiB allowed");
+    assert!(clients.iter().any(|client| client.got_error), "no client got the error {}", flood.error);
+}
+
+fn run_flood(address: SocketAddr, flood: Flood) -> Vec<FloodingClient> {
+    let mut clients: Vec<_> = (0..FLOODING_CLIENTS).map(|_| FloodingClient::connect(address)).collect();
+    let mut read_buffer = vec![0; 64 * 1024];
+    let start = Instant::now();
+    while start.elapsed() < FLOOD_DURATION {
+        for client in clients.iter_mut().filter(|client| client.is_open) {
+            client.advance(flood, &mut read_buffer);
+        }
+        std::thread::sleep(Duration::from_micros(200));
+    }
+    clients
+}
+
+/// Returns a batch that binds portals which no earlier batch has bound, and ends with a Flush.
+fn bind_portals(batch: usize, count: usize, value: &str) -> Vec<u8> {
+    if batch == 0 {
+        return extended_messages(&format!("{READ} | S"));
+    }
+    let binds: Vec<_> = (0..count).map(|n| format!("B p{batch}-{n} s {value}")).collect();
+    extended_messages(&format!("{} | H", binds.join("|")))
+}
+
+/// Guards against portals whose bytes are few but which are many: each takes memory besides its bytes.
+#[test]
+fn small_portals_without_a_sync_do_not_exhaust_the_memory() {
+    let next = |batch| bind_portals(batch, 1000, "7f");
+    assert_flood_is_bounded(Flood { extended: true, next, error: "53200" });
+}
--- a/tests/proxy/support/mod.rs
+++ b/tests/proxy/support/mod.rs
@@ -22,7 +22,7 @@
 pub use fleet_limits::COST_LIMITS;
 pub use member::{Execution, MemberBehavior, MemberEvent, MockMember};
 pub use proxy::{Proxy, configuration, configuration_at, shell_without_probes, wait_for_counter};
-pub use wire::{extended_messages, read_query, simple_query, startup_message, write_query};
+pub use wire::{extended_messages, parse_with_types, read_query, simple_query, startup_message, write_query};
 
 use std::time::Duration;
 
--- a/tests/proxy/support/wire.rs
+++ b/tests/proxy/support/wire.rs
@@ -77,6 +77,16 @@
     out
 }
 
+/// Returns a Parse message with this many parameter types.
+pub fn parse_with_types(name: &str, count: u16) -> Vec<u8> {
+    let mut body = format!("{name}\0SELECT payload FROM entries /* c=any,d=900 */\0").into_bytes();
+    body.extend(count.to_be_bytes());
+    body.resize(body.len() + 4 * usize::from(count), 0);
+    let mut out = Vec::new();
+    put_message(&mut out, b'P', &body);
+    out
+}
+
 /// Returns the body of a Bind message with one text parameter, by default `7f`.
 fn bind_body(portal: &str, statement_and_value: &str) -> Vec<u8> {
     let (statement, value) = statement_and_value.split_once(' ').unwrap_or((statement_and_value, "7f"));
