Commands in progress stay within the memory, also the first one of each client

Cause: the limit on unanswered commands of all clients held a client's second command back, and never its first one; a batch was counted without what each message takes besides its bytes; a worker kept its copy of the written batch until the reply.

Now a command whose client exceeds its part while an eighth of the memory is in use by commands is answered 53300 ("nothing has run, try again"), in its order, and its bytes are dropped where they are read; another eighth is guaranteed in equal parts. On the platform's listener 53300 means that trying again is harmless. Copies of batches are dropped once written.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -63,6 +63,8 @@
     pub messages: Vec<Vec<u8>>,
     /// The message that ended the batch.
     pub end: BatchEnd,
+    /// Whether the messages were dropped because the commands in progress use up the memory.
+    pub is_over_budget: bool,
 }
 
 /// The message that ends a batch.
--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -3,6 +3,8 @@
 use super::ParsedRequest;
 use crate::clock::from_unix_ms;
 use crate::exchange::MemberRequest;
+use crate::memory_budget::OverBudget;
+use crate::pg::sqlstate;
 use crate::pg::statement::{self, StatementError, StatementFields, Timeout};
 use crate::{Micros, Requirement, Settings};
 use std::ops::Range;
@@ -15,6 +17,9 @@
 /// Why a query is rejected. The text of the error is sent to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidQuery {
+    /// The commands in progress use up the memory. The text was dropped.
+    #[error("the commands in progress use up the memory: nothing has run, try again")]
+    OverBudget(#[from] OverBudget),
     /// The query is not one complete statement.
     #[error(transparent)]
     Statement(#[from] StatementError),
@@ -44,6 +49,16 @@
     MissingExternalId,
 }
 
+impl InvalidQuery {
+    /// The SQLSTATE that is sent to the client.
+    pub fn sqlstate(self) -> &'static str {
+        match self {
+            InvalidQuery::OverBudget(_) => sqlstate::TOO_MANY_CONNECTIONS,
+            _ => sqlstate::PROTOCOL_VIOLATION,
+        }
+    }
+}
+
 /// A simple query and the routing fields parsed from it.
 pub struct SimpleQuery {
     /// When the last byte of the query was read.
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -40,9 +40,7 @@
                     MemberRequest::SimpleQuery { text: query.text, timeout_digits: Some(timeout_digits) };
                 CommandStep::Forward(ParsedRequest { member_request, ..*request }, ())
             }
-            Err(invalid) => {
-                CommandStep::Reply(error_reply(pg::sqlstate::PROTOCOL_VIOLATION, &invalid.to_string()))
-            }
+            Err(invalid) => CommandStep::Reply(error_reply(invalid.sqlstate(), &invalid.to_string())),
         }
     }
 
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -88,6 +88,9 @@
         batch: &ClientBatch,
         service: ServiceState,
     ) -> Result<CommandStep<Self>, BatchError> {
+        if batch.is_over_budget {
+            return Err(BatchError::TooMuchInProgress);
+        }
         match batch.messages.first() {
             Some(message) if batch.end == BatchEnd::Query => {
                 // The layer in front of the proxies sends empty queries as health checks, to decide whether
--- a/src/front/postgres/session_commits/tests.rs
+++ b/src/front/postgres/session_commits/tests.rs
@@ -111,7 +111,7 @@
             message(frontend::BIND, &bind),
             message(frontend::EXECUTE, b"\0\0\0\0\0"),
         ];
-        let batch = ClientBatch { received_at: 0, messages, end: BatchEnd::Sync };
+        let batch = ClientBatch { received_at: 0, messages, end: BatchEnd::Sync, is_over_budget: false };
         self.handle(client, ClientEvent::Command(batch));
     }
 
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -23,7 +23,6 @@
     }
 
     /// The bytes that all holders use.
-    #[cfg(test)]
     pub fn used(&self) -> usize {
         self.used.load(Ordering::SeqCst)
     }
@@ -42,6 +41,11 @@
         HeldBytes { budget, bytes: 0 }
     }
 
+    /// The number of bytes that the holder uses.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Changes the number of bytes that the holder uses. Fails, without a change, if it would then exceed its
     /// part while the total exceeds the shared limit; a decrease never fails.
     pub fn try_set(&mut self, bytes: usize) -> Result<(), OverBudget> {
--- a/src/net/client/commands.rs
+++ b/src/net/client/commands.rs
@@ -12,6 +12,8 @@
 /// The most messages and bytes of one batch, without the Sync or Flush that ends it.
 const MAX_BATCH_MESSAGES: usize = 1024;
 const MAX_BATCH_BYTES: usize = 256 * 1024;
+/// What a message of a batch takes in memory besides its bytes, until it is answered.
+const MESSAGE_OVERHEAD_BYTES: usize = 128;
 /// The length of a message's header: its type byte and its length field.
 const HEADER_BYTES: usize = 5;
 /// The length of a Query message without its text: the header and the zero byte that terminates the text.
@@ -47,19 +49,19 @@
             None => return Ok(ControlFlow::Break(ParseProgress::NeedsBytes)),
             Some((frontend::QUERY, message)) => {
                 let text = query_text(message)?;
-                ClientEvent::Command(SimpleQuery {
-                    received_at: self.last_read_at,
-                    text: text.to_vec(),
-                    fields: ParsedQuery::parse(text, settings),
-                })
+                let (text, fields) = match self.shared.command_received(text.len()) {
+                    Ok(()) => (text.to_vec(), ParsedQuery::parse(text, settings)),
+                    Err(over_budget) => (Vec::new(), Err(over_budget.into())),
+                };
+                ClientEvent::Command(SimpleQuery { received_at: self.last_read_at, text, fields })
             }
             Some((frontend::TERMINATE, _)) => ClientEvent::Terminate,
             Some((tag, _)) if is_known_but_unsupported(tag) => ClientEvent::Unsupported,
             Some(_) => return Err(ProtocolError::UnknownMessageType),
         };
         let step = match &event {
-            ClientEvent::Command(query) => {
-                self.count_command(query.text.len());
+            ClientEvent::Command(_) => {
+                self.mark_command_received();
                 ControlFlow::Continue(())
             }
             _ => ControlFlow::Break(ParseProgress::Finished),
@@ -117,14 +119,24 @@
     /// Counts a complete batch as a command, and reports it.
     fn report_batch(&mut self, end: BatchEnd, events: &EventSink) {
         let ParseState::Extended(batch) = &mut self.parse_state else { return };
-        let PartialBatch { messages, bytes } = std::mem::take(batch);
-        let batch = ClientBatch { received_at: self.last_read_at, messages, end };
-        self.count_command(bytes);
+        let size = batch.memory_bytes();
+        let mut messages = std::mem::take(batch).messages;
+        let is_over_budget = self.shared.command_received(size).is_err();
+        if is_over_budget {
+            messages = Vec::new();
+        }
+        let batch = ClientBatch { received_at: self.last_read_at, messages, end, is_over_budget };
+        self.mark_command_received();
         events(ReactorEvent::Extended(self.shared.id, ClientEvent::Command(batch)));
     }
 }
 
 impl PartialBatch {
+    /// What the messages take in memory.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.bytes + self.messages.len() * MESSAGE_OVERHEAD_BYTES
+    }
+
     /// Adds a message; fails if the batch would exceed its limits.
     pub(super) fn push(&mut self, message: &[u8]) -> Result<(), ProtocolError> {
         self.bytes += message.len();
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -158,11 +158,10 @@
         true
     }
 
-    /// Counts a complete command, of this many bytes, as unanswered before it is reported.
-    pub(super) fn count_command(&mut self, size: usize) {
+    /// Records that a complete command has been received.
+    pub(super) fn mark_command_received(&mut self) {
         self.any_command_received = true;
         self.command_received_since_deadline = true;
-        self.shared.command_received(size);
     }
 
     /// Stops counting an incomplete command if no bytes of one have been received.
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -25,6 +25,8 @@
 pub use reactor::ClientReactor;
 
 use crate::client::{ClientBatch, ClientEvent, ClientId, SimpleQuery};
+use crate::memory_budget::MemoryBudget;
+use std::sync::Arc;
 
 /// An event that the reactor reports to the event loop.
 pub enum ReactorEvent {
@@ -44,15 +46,17 @@
 pub type EventSink = Box<dyn Fn(ReactorEvent) + Send>;
 
 /// Limits on the totals over all client connections.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub struct ReactorLimits {
     /// The most open connections, including those that the event loop has not admitted or rejected yet and
     /// those that are closed but still linger.
     pub max_connections: usize,
     /// The most bytes of answers that wait to be written to sockets.
     pub max_unwritten_bytes: usize,
-    /// The most bytes of commands that are not answered yet.
+    /// The bytes of commands that are not answered yet above which no connection may have a second one.
     pub max_unanswered_command_bytes: usize,
+    /// The memory of the commands that are not answered yet.
+    pub command_memory: Arc<MemoryBudget>,
     /// The most bytes of commands that have not arrived completely. Small incomplete commands don't count.
     pub max_incomplete_command_bytes: usize,
 }
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -4,6 +4,7 @@
 use super::event_barrier::EventBarrier;
 use super::write_buffer::{MAX_WAITING_ANSWERS, WriteBuffer};
 use crate::client::ClientId;
+use crate::memory_budget::{HeldBytes, OverBudget};
 use crossbeam_channel::{Receiver, bounded};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use std::collections::VecDeque;
@@ -29,7 +30,6 @@
     pub(super) waker: UnixStream,
     pub(super) limits: ReactorLimits,
     pub(super) unwritten_bytes: AtomicUsize,
-    pub(super) unanswered_command_bytes: AtomicUsize,
     pub(super) open_connections: AtomicUsize,
     /// Whether accepting is paused at the connection limit, so that the reactor must be woken when a
     /// connection has closed.
@@ -54,7 +54,6 @@
             waker,
             limits,
             unwritten_bytes: AtomicUsize::new(0),
-            unanswered_command_bytes: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             at_connection_limit: AtomicBool::new(false),
             shutdown_requested: AtomicBool::new(false),
@@ -129,11 +128,13 @@
 }
 
 /// The part of a connection's shared state that is protected by a lock.
-#[derive(Default)]
 pub(super) struct ConnectionState {
     pub(super) write_buffer: WriteBuffer,
-    /// The sizes in bytes of the unanswered commands, in the order of their arrival.
+    /// The sizes in bytes of the unanswered commands, in the order of their arrival; 0 for a command whose bytes
+    /// were dropped.
     unanswered_command_sizes: VecDeque<usize>,
+    /// The sum of these sizes.
+    unanswered_command_bytes: HeldBytes,
     /// Whether reading is paused until the client may send another command.
     pub(super) reading_paused: bool,
     /// Whether the connection is registered with the reactor's `epoll` instance.
@@ -144,14 +145,29 @@
     pub(super) closing: bool,
 }
 
+impl ConnectionState {
+    fn new(unanswered_command_bytes: HeldBytes) -> ConnectionState {
+        ConnectionState {
+            write_buffer: WriteBuffer::default(),
+            unanswered_command_sizes: VecDeque::new(),
+            unanswered_command_bytes,
+            reading_paused: false,
+            registered: false,
+            removed: false,
+            closing: false,
+        }
+    }
+}
+
 impl ConnectionShared {
     pub(super) fn new(id: ClientId, stream: TcpStream, reactor: Arc<ReactorShared>) -> ConnectionShared {
+        let state = ConnectionState::new(HeldBytes::new(reactor.limits.command_memory.clone()));
         ConnectionShared {
             id,
             stream,
             reactor,
             unfinished_commands: AtomicUsize::new(0),
-            state: Mutex::default(),
+            state: Mutex::new(state),
         }
     }
 
@@ -212,8 +228,8 @@
     /// answers have been written.
     pub(super) fn has_capacity(&self) -> bool {
         let mut state = self.state();
-        let own_bytes: usize = state.unanswered_command_sizes.iter().sum();
-        let all_bytes = self.reactor.unanswered_command_bytes.load(Ordering::SeqCst);
+        let own_bytes = state.unanswered_command_bytes.bytes();
+        let all_bytes = self.reactor.limits.command_memory.used();
         let has_capacity = self.may_add_answer(&state)
             && (state.unanswered_command_sizes.is_empty()
                 || (state.unanswered_command_sizes.len() < MAX_PIPELINED_COMMANDS
@@ -236,11 +252,15 @@
         state.write_buffer.is_empty() || (answers < MAX_WAITING_ANSWERS && is_half_free)
     }
 
-    /// Counts a command that is about to be reported.
-    pub(super) fn command_received(&self, size: usize) {
-        self.state().unanswered_command_sizes.push_back(size);
-        self.reactor.unanswered_command_bytes.fetch_add(size, Ordering::SeqCst);
+    /// Counts a command that is about to be reported. Fails if the client exceeds its part of the memory for
+    /// commands; the caller must then drop the command's bytes, and report it as rejected.
+    pub(super) fn command_received(&self, size: usize) -> Result<(), OverBudget> {
         self.unfinished_commands.fetch_add(1, Ordering::SeqCst);
+        let mut state = self.state();
+        let bytes = state.unanswered_command_bytes.bytes() + size;
+        let counted = state.unanswered_command_bytes.try_set(bytes);
+        state.unanswered_command_sizes.push_back(if counted.is_ok() { size } else { 0 });
+        counted
     }
 
     /// Counts the oldest command as answered, and resumes reading if it is paused.
@@ -248,7 +268,8 @@
         self.unfinished_commands.fetch_sub(1, Ordering::SeqCst);
         let mut state = self.state();
         let size = state.unanswered_command_sizes.pop_front().unwrap_or(0);
-        self.reactor.unanswered_command_bytes.fetch_sub(size, Ordering::SeqCst);
+        let bytes = state.unanswered_command_bytes.bytes() - size;
+        state.unanswered_command_bytes.set(bytes);
         if state.reading_paused && !self.reactor.stop_reading_requested.load(Ordering::SeqCst) {
             state.reading_paused = false;
             self.update_interest(&mut state, true);
@@ -259,9 +280,7 @@
 impl Drop for ConnectionShared {
     fn drop(&mut self) {
         let state = self.state.get_mut().unwrap_or_else(|poisoned| poisoned.into_inner());
-        let unanswered_bytes = state.unanswered_command_sizes.iter().sum();
         self.reactor.unwritten_bytes.fetch_sub(state.write_buffer.counted_bytes(), Ordering::SeqCst);
-        self.reactor.unanswered_command_bytes.fetch_sub(unanswered_bytes, Ordering::SeqCst);
         self.reactor.open_connections.fetch_sub(1, Ordering::SeqCst);
         if self.reactor.at_connection_limit.swap(false, Ordering::SeqCst) {
             self.reactor.wake();
--- a/src/net/member/extended_query.rs
+++ b/src/net/member/extended_query.rs
@@ -127,7 +127,9 @@
     ) -> Result<Duration, Outcome> {
         pg::put_message(&mut messages, frontend::FLUSH, &[]);
         let _ = self.connection.stream.set_read_timeout(Some(PRE_EXECUTE_TIMEOUT));
-        let confirmed = self.write(&messages).is_ok() && replies.read_pre_execute(self.connection);
+        let is_written = self.write(&messages).is_ok();
+        drop(messages);
+        let confirmed = is_written && replies.read_pre_execute(self.connection);
         // The read timeout is removed: otherwise an Execute that takes longer would fail.
         let is_unlimited = self.connection.stream.set_read_timeout(None).is_ok();
         if !confirmed || !is_unlimited {
@@ -151,7 +153,10 @@
     ) -> JobReply {
         messages.append(&mut replies.execution.from_execute);
         pg::put_message(&mut messages, frontend::SYNC, &[]);
-        if let Err(WriteError { written }) = self.write(&messages) {
+        let written = self.write(&messages);
+        // The reply may take as long as the client waits.
+        drop(messages);
+        if let Err(WriteError { written }) = written {
             let outcome = if written == 0 { Outcome::ConnectFailed } else { Outcome::Reset };
             return JobReply::failed(outcome);
         }
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -29,6 +29,11 @@
 const MESSAGE_QUEUE_CAPACITY: usize = 1024;
 /// Each limit on buffers of all clients together is the memory limit divided by this.
 const BUFFER_MEMORY_DIVISOR: usize = 8;
+/// The memory limit divided by this is what the commands in progress of all clients may take before a client
+/// may not exceed its part.
+const SHARED_COMMAND_MEMORY_DIVISOR: usize = 8;
+/// The memory limit divided by this is guaranteed to the commands in progress of the clients, in equal parts.
+const GUARANTEED_COMMAND_MEMORY_DIVISOR: usize = 8;
 /// The memory limit divided by this is what the prepared statements and portals of all clients may take before
 /// a client may not exceed its part.
 const SHARED_SESSION_MEMORY_DIVISOR: usize = 16;
@@ -93,11 +98,15 @@
     }
 }
 
-fn reactor_limits(max_connections: usize, buffer_bytes: usize) -> ReactorLimits {
+fn reactor_limits(max_connections: usize, memory_bytes: usize) -> ReactorLimits {
+    let buffer_bytes = memory_bytes / BUFFER_MEMORY_DIVISOR;
+    let shared = memory_bytes / SHARED_COMMAND_MEMORY_DIVISOR;
+    let guaranteed = memory_bytes / GUARANTEED_COMMAND_MEMORY_DIVISOR;
     ReactorLimits {
         max_connections,
         max_unwritten_bytes: buffer_bytes,
         max_unanswered_command_bytes: buffer_bytes,
+        command_memory: MemoryBudget::new(shared, guaranteed, max_connections),
         max_incomplete_command_bytes: buffer_bytes,
     }
 }
@@ -163,7 +172,7 @@
         let postgres = postgres.map_err(std::io::Error::other)?;
         let reducer = Core::new(config.settings.clone(), config.seed, clock.now(), budget.member_connections);
         let (alive, clients_closed) = bounded(0);
-        let limits = reactor_limits(budget.client_connections, buffer_bytes);
+        let limits = reactor_limits(budget.client_connections, config.memory_bytes);
         let (reactor, client_reactor) = ClientReactor::new(
             listeners,
             limits,
--- a/tests/proxy/memory_limits.rs
+++ b/tests/proxy/memory_limits.rs
@@ -4,7 +4,7 @@
 use crate::support::*;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// The limits of the smallest proxies in service.
@@ -14,6 +14,8 @@
 const FLOODING_CLIENTS: usize = 104;
 const ORDINARY_CLIENTS: usize = 4;
 const FLOOD_DURATION: Duration = Duration::from_secs(2);
+/// The length of the largest values that clients send.
+const VALUE_BYTES: usize = 62_000;
 /// The time within which an ordinary client's request has to be served, with retries after rejections.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(10);
 const READ: &str = "P s SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */";
@@ -25,8 +27,8 @@
     extended: bool,
     /// Returns what a client sends next, given how often it has sent before.
     next: fn(usize) -> Vec<u8>,
-    /// The SQLSTATE of the error that the clients get.
-    error: &'static str,
+    /// The SQLSTATEs of the errors that the clients get.
+    errors: &'static [&'static str],
 }
 
 /// A client that sends at full speed and reads what it is sent.
@@ -57,9 +59,8 @@
         }
         match self.stream.read(read_buffer) {
             Ok(length) => {
-                let code = format!("\0C{}\0", flood.error);
                 let read = &read_buffer[..length];
-                self.got_error |= read.windows(code.len()).any(|window| window == code.as_bytes());
+                self.got_error |= flood.errors.iter().any(|code| contains_sqlstate(read, code));
                 self.is_open &= length > 0;
             }
             Err(error) => self.is_open &= error.kind() == ErrorKind::WouldBlock,
@@ -67,6 +68,12 @@
     }
 }
 
+/// Returns whether a part of a reply contains an error of this SQLSTATE.
+fn contains_sqlstate(reply: &[u8], code: &str) -> bool {
+    let field = format!("\0C{code}\0");
+    reply.windows(field.len()).any(|window| window == field.as_bytes())
+}
+
 /// Returns the highest memory that the program has used, in KiB.
 fn highest_memory_kib(proxy: &Proxy) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
@@ -117,7 +124,11 @@
     });
     let highest = highest_memory_kib(&proxy);
     assert!(highest < MEMORY_LIMIT_KIB, "{highest} KiB used, {MEMORY_LIMIT_KIB} KiB allowed");
-    assert!(clients.iter().any(|client| client.got_error), "no client got the error {}", flood.error);
+    assert!(
+        clients.iter().any(|client| client.got_error),
+        "no client got one of the errors {:?}",
+        flood.errors
+    );
 }
 
 fn run_flood(address: SocketAddr, flood: Flood) -> Vec<FloodingClient> {
@@ -146,5 +157,38 @@
 #[test]
 fn small_portals_without_a_sync_do_not_exhaust_the_memory() {
     let next = |batch| bind_portals(batch, 1000, "7f");
-    assert_flood_is_bounded(Flood { extended: true, next, error: "53200" });
+    assert_flood_is_bounded(Flood { extended: true, next, errors: &["53200"] });
+}
+/// Guards against portals that are kept without bound until a Sync, which the client never sends.
+#[test]
+fn portals_without_a_sync_do_not_exhaust_the_memory() {
+    let next = |batch| bind_portals(batch, 4, &"7".repeat(VALUE_BYTES));
+    assert_flood_is_bounded(Flood { extended: true, next, errors: &["53200"] });
+}
+
+/// Returns a batch of writes whose values are as large as a batch admits.
+fn large_batch(_: usize) -> Vec<u8> {
+    let write = format!("B - - {} | E -", "7".repeat(VALUE_BYTES));
+    let statement = "P - INSERT INTO entries VALUES ($1, 'x') /* d=4000 */";
+    extended_messages(&format!("{statement} | {} | S", [write.as_str(); 4].join("|")))
+}
+
+/// Guards against commands that are read from all clients at once: each client's first command was admitted
+/// whatever the others had in progress.
+#[test]
+fn large_batches_in_progress_do_not_exhaust_the_memory() {
+    assert_flood_is_bounded(Flood { extended: true, next: large_batch, errors: &["53300", "08P01"] });
+}
+
+/// Guards against the same on the platform's listener.
+#[test]
+fn large_queries_in_progress_do_not_exhaust_the_memory() {
+    static LAST_ID: AtomicU32 = AtomicU32::new(1_000_000);
+    let next = |_: usize| {
+        let value = "7".repeat(2 * VALUE_BYTES);
+        let id = LAST_ID.fetch_add(1, Ordering::SeqCst);
+        let fields = format!("id={id:x},c=write,d=4000,cluster=2");
+        simple_query(&format!("INSERT INTO entries VALUES ('7f', '\\x{value}') /* {fields} */"))
+    };
+    assert_flood_is_bounded(Flood { extended: false, next, errors: &["53300", "08P01"] });
 }
