The longest incomplete commands are closed, not those of whoever comes next

Callers saw: while some clients have sent 240 KB of batches that they do not complete (17 at a limit of 32 MB), a client that sends one value of 62,000 bytes in two parts is closed with 08P01 "too much at once", though the others hold twice as much and it is they who fill the memory.

Cause: when all incomplete commands together exceed their limit, the connection that was read last was closed. Beside it: a closing connection kept the complete messages of its incomplete batch for up to 2.2 s without counting them, and a receive buffer that grows doubled its capacity.

Now the connections with the longest incomplete commands are closed until the total is within the limit; a closing connection drops its batch; a long receive buffer grows in steps of 16 KiB.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -40,10 +40,10 @@
 }
 
 impl ParseState {
-    /// The bytes of the complete messages that have been received of an incomplete command.
+    /// What the complete messages that have been received of an incomplete command take in memory.
     fn buffered_bytes(&self) -> usize {
         match self {
-            ParseState::Extended(batch) => batch.bytes,
+            ParseState::Extended(batch) => batch.memory_bytes(),
             ParseState::Startup | ParseState::Simple => 0,
         }
     }
@@ -250,22 +250,27 @@
         self.frames = FrameReader::default();
     }
 
-    /// Updates the bytes of the incomplete command, here and in the total over all connections; `false` if
-    /// the total exceeds its limit and this connection contributes to it. Without the limit, many clients
-    /// that each send part of a long message could exhaust the memory.
-    pub(super) fn update_incomplete_command_bytes(&mut self, total: &mut usize, max_total: usize) -> bool {
+    /// Updates the bytes of the incomplete command, here and in the total over all connections.
+    pub(super) fn update_incomplete_command_bytes(&mut self, total: &mut usize) {
         let buffered = self.frames.buffered().len() + self.parse_state.buffered_bytes();
         let counted = if buffered >= MIN_COUNTED_INCOMPLETE_BYTES { buffered } else { 0 };
         *total = *total + counted - self.incomplete_command_bytes;
         self.incomplete_command_bytes = counted;
-        *total <= max_total || counted == 0
     }
 
-    /// Discards the bytes that are not parsed, and subtracts those of the incomplete command from the total.
+    /// The bytes that this connection contributes to the total of incomplete commands.
+    pub(super) fn incomplete_command_bytes(&self) -> usize {
+        self.incomplete_command_bytes
+    }
+
+    /// Discards the bytes that are not parsed and the messages of an incomplete batch, and subtracts those of the incomplete command from the total.
     pub(super) fn drop_incomplete_command(&mut self, total: &mut usize) {
         *total -= self.incomplete_command_bytes;
         self.incomplete_command_bytes = 0;
         self.frames = FrameReader::default();
+        if let ParseState::Extended(batch) = &mut self.parse_state {
+            *batch = PartialBatch::default();
+        }
     }
 
     /// Returns the deadline that applies after a read: an incomplete command must be completed in time. No
--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -1,6 +1,6 @@
 //! The reactor's handling of connections that are ready, whose deadline has passed, or that are to be closed.
 
-use super::connection::{COMMAND_TIMEOUT, ConnectionEvent, ParseProgress};
+use super::connection::{COMMAND_TIMEOUT, ClientConnection, ConnectionEvent, ParseProgress};
 use super::reactor::{ClientReactor, LINGER_TIMEOUT};
 use crate::client::ClientId;
 use crate::pg::ProtocolError;
@@ -49,18 +49,32 @@
         if progress == ParseProgress::Finished {
             return self.start_closing(id, COMMAND_TIMEOUT);
         }
-        let total = &mut self.incomplete_command_bytes;
-        let max_total = self.shared.limits.max_incomplete_command_bytes;
-        if !connection.update_incomplete_command_bytes(total, max_total) {
-            connection.report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
-            return self.start_closing(id, COMMAND_TIMEOUT);
-        }
+        connection.update_incomplete_command_bytes(&mut self.incomplete_command_bytes);
+        self.close_longest_incomplete_commands();
+        let Some(connection) = self.connections.get_mut(&id).filter(|connection| !connection.closing) else {
+            return;
+        };
         connection.end_command_if_complete();
         let deadline = connection.next_deadline(progress);
         self.deadlines.replace(id, connection.deadline, deadline);
         connection.deadline = deadline;
     }
 
+    /// Closes the connections with the longest incomplete commands until the total is within its limit. Without
+    /// the limit, many clients that each send part of a long message could exhaust the memory; if the client
+    /// that exceeds it were closed, clients that send short commands would be closed for those of others.
+    fn close_longest_incomplete_commands(&mut self) {
+        while self.incomplete_command_bytes > self.shared.limits.max_incomplete_command_bytes {
+            let bytes = |connection: &ClientConnection| connection.incomplete_command_bytes();
+            let longest = self.connections.iter().max_by_key(|(_, connection)| bytes(connection));
+            let Some((&id, connection)) = longest.filter(|(_, connection)| bytes(connection) > 0) else {
+                return;
+            };
+            connection.report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
+            self.start_closing(id, COMMAND_TIMEOUT);
+        }
+    }
+
     /// Removes closing connections whose deadline has passed, and starts to close open connections that have
     /// not completed a command in time. Otherwise clients that connect and send nothing, or never complete a
     /// message, would use up connections forever.
--- a/src/pg/frame_reader.rs
+++ b/src/pg/frame_reader.rs
@@ -83,9 +83,19 @@
     /// Appends bytes that the caller has read from the connection.
     pub fn push(&mut self, bytes: &[u8]) {
         self.discard_consumed();
+        self.reserve(bytes.len());
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Reserves capacity for more bytes. The capacity of a long buffer grows in steps instead of doubling, so
+    /// that it exceeds the bytes of an incomplete message by little.
+    fn reserve(&mut self, additional: usize) {
+        let length = self.buffer.len() + additional;
+        if length > self.buffer.capacity() && length > READ_BYTES {
+            self.buffer.reserve_exact(length.next_multiple_of(READ_BYTES) - self.buffer.len());
+        }
+    }
+
     /// The bytes that have been received and not consumed.
     pub fn buffered(&self) -> &[u8] {
         &self.buffer[self.start..]
--- a/tests/proxy/memory_limits.rs
+++ b/tests/proxy/memory_limits.rs
@@ -192,3 +192,38 @@
     };
     assert_flood_is_bounded(Flood { extended: false, next, errors: &["53300", "08P01"] });
 }
+
+/// Guards against incomplete commands, of which those of other clients were closed instead of the longest.
+#[test]
+fn incomplete_batches_do_not_exhaust_the_memory() {
+    let next = |count| match count {
+        0 => extended_messages(&[format!("B - s {}", "7".repeat(VALUE_BYTES)).as_str(); 4].join("|")),
+        _ => Vec::new(),
+    };
+    assert_flood_is_bounded(Flood { extended: true, next, errors: &["08P01"] });
+}
+
+/// Guards against a client that is closed for what others buffer: it sends a value as large as allowed, in two
+/// parts, while others fill the memory for incomplete commands with longer ones.
+#[test]
+fn client_is_served_while_longer_incomplete_commands_of_others_fill_the_memory() {
+    let (primary, replica) = (MockMember::start(true), MockMember::start(false));
+    let shell = "exec \"$0\" serve --postgres \"$1\"";
+    let proxy = Proxy::start_with_limits(&[&primary, &replica], shell, "", LIMITS);
+    let mut client = proxy.connect();
+    assert_eq!(client.query(&write_query(0, 900)), SERVED);
+    let incomplete = extended_messages(&[format!("B - s {}", "7".repeat(60_000)).as_str(); 4].join("|"));
+    let mut others: Vec<_> = (0..17).map(|_| proxy.connect_extended()).collect();
+    others.iter_mut().for_each(|other| other.send(&incomplete));
+    std::thread::sleep(Duration::from_millis(300));
+    let value = "7".repeat(2 * VALUE_BYTES);
+    let fields = "id=1,c=write,d=4000,cluster=2";
+    let query = simple_query(&format!("INSERT INTO entries VALUES ('7f', '\\x{value}') /* {fields} */"));
+    let (first, second) = query.split_at(120_000);
+    client.send(first);
+    std::thread::sleep(Duration::from_millis(300));
+    client.send(second);
+    assert_eq!(client.read_reply(), SERVED);
+    let closed = others.iter_mut().map(Client::read_reply).filter(|reply| reply == "E(08P01) end");
+    assert!(closed.count() > 0, "the clients with the longest commands get an error");
+}
