Statements that are kept for all clients stay within the memory

Now the statements of all member connections share an eighth of the memory limit, and a sixteenth is guaranteed in equal parts: a connection over its part evicts its least recently used statements.

--- a/src/extended/tests.rs
+++ b/src/extended/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory_budget::{HeldBytes, MemoryBudget};
 use crate::pg;
 use crate::pg::statement::parse_fields;
 use std::collections::HashSet;
@@ -12,6 +13,10 @@
     Arc::new(PreparedStatement { sql: sql.to_vec(), parameter_types: vec![0, 0], timeout_digits })
 }
 
+fn statement_cache() -> PreparedStatementCache {
+    PreparedStatementCache::new(HeldBytes::new(MemoryBudget::new(1 << 20, 0, 1)))
+}
+
 fn bind(statement: &Arc<PreparedStatement>) -> ExtendedMessage {
     ExtendedMessage::Bind {
         portal: Vec::new(),
@@ -45,7 +50,7 @@
 
 #[test]
 fn a_missing_statement_is_prepared_and_its_parse_complete_is_not_forwarded() {
-    let mut statements = PreparedStatementCache::default();
+    let mut statements = statement_cache();
     let select = statement(b"SELECT 1");
     let batch = ExtendedBatch { messages: vec![bind(&select), execute()], confirm_before_execute: true };
     let mut first = BatchExecution::new(&batch, &mut statements, SECOND);
@@ -66,7 +71,7 @@
 
 #[test]
 fn parse_of_a_statement_already_prepared_by_another_client_is_answered_by_the_proxy_in_order() {
-    let mut statements = PreparedStatementCache::default();
+    let mut statements = statement_cache();
     let select = statement(b"SELECT 1");
     let batch = || ExtendedBatch {
         messages: vec![ExtendedMessage::Parse(select.clone()), bind(&select), execute()],
@@ -84,7 +89,7 @@
 
 #[test]
 fn statements_skipped_after_an_error_do_not_count_as_prepared() {
-    let mut statements = PreparedStatementCache::default();
+    let mut statements = statement_cache();
     let misspelt = statement(b"SELEC 1");
     let batch = ExtendedBatch { messages: vec![bind(&misspelt), execute()], confirm_before_execute: false };
     let mut execution = BatchExecution::new(&batch, &mut statements, SECOND);
@@ -98,7 +103,7 @@
 
 #[test]
 fn the_statement_cache_is_bounded_and_never_reuses_names() {
-    let mut statements = PreparedStatementCache::default();
+    let mut statements = statement_cache();
     let mut names = HashSet::new();
     for n in 0..500 {
         let select = statement(format!("SELECT {n}").as_bytes());
@@ -111,7 +116,7 @@
 
 #[test]
 fn replies_out_of_order_are_a_protocol_violation() {
-    let mut statements = PreparedStatementCache::default();
+    let mut statements = statement_cache();
     let select = statement(b"SELECT 1");
     let batch = ExtendedBatch { messages: vec![bind(&select), execute()], confirm_before_execute: true };
     let mut execution = BatchExecution::new(&batch, &mut statements, SECOND);
@@ -122,7 +127,7 @@
 
 #[test]
 fn statement_is_prepared_with_the_time_left_and_bound_again_if_less_time_is_left_at_the_execute() {
-    let mut statements = PreparedStatementCache::default();
+    let mut statements = statement_cache();
     let insert = statement(b"INSERT /* d=900 */");
     let batch = ExtendedBatch { messages: vec![bind(&insert), execute()], confirm_before_execute: true };
     let millis = Duration::from_millis;
--- a/src/net/member/connection.rs
+++ b/src/net/member/connection.rs
@@ -4,9 +4,11 @@
 use super::events::{MemberEvent, MemberEvents};
 use super::job::{Job, JobExecution, JobReply};
 use super::liveness::answers_empty_query;
+use super::memory::MemberMemory;
 use crate::Outcome;
 use crate::core::{ConnectionId, Input};
 use crate::extended::PreparedStatementCache;
+use crate::memory_budget::HeldBytes;
 use crate::sockets::closed_by_peer;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -28,10 +30,11 @@
     /// The state of the connection while no job is running; `None` while a job uses it, and after the
     /// connection has ended.
     idle_state: Mutex<Option<ConnectionState>>,
+    /// The memory that all member connections share.
+    memory: MemberMemory,
 }
 
 /// The state of the current connection; the default is a connection that is not opened yet.
-#[derive(Default)]
 struct ConnectionState {
     open: Option<OpenConnection>,
     /// The statements that are prepared on this connection.
@@ -39,6 +42,12 @@
 }
 
 impl ConnectionState {
+    /// The state of a connection that is not open.
+    fn new(memory: &MemberMemory) -> ConnectionState {
+        let held = HeldBytes::new(memory.statements.clone());
+        ConnectionState { open: None, statements: PreparedStatementCache::new(held) }
+    }
+
     /// Whether the connection is open, and the member has closed it or sent unexpected bytes.
     fn is_unusable(&self) -> bool {
         self.open.as_ref().is_some_and(|open| closed_by_peer(&open.stream))
@@ -62,6 +71,7 @@
         address: SocketAddr,
         connect_timeout: Duration,
         events: MemberEvents,
+        memory: MemberMemory,
     ) -> MemberConnection {
         MemberConnection {
             connection_id,
@@ -69,7 +79,8 @@
             connect_timeout,
             events,
             abort_target: Mutex::new(None),
-            idle_state: Mutex::new(Some(ConnectionState::default())),
+            idle_state: Mutex::new(Some(ConnectionState::new(&memory))),
+            memory,
         }
     }
 
@@ -157,7 +168,7 @@
     fn discard(&self, state: ConnectionState) -> ConnectionState {
         *self.abort_target() = None;
         drop(state);
-        ConnectionState::default()
+        ConnectionState::new(&self.memory)
     }
 
     /// Checks whether the connection is alive, unless the job is cancelled before or during the check.
--- a/src/net/member/mod.rs
+++ b/src/net/member/mod.rs
@@ -9,12 +9,14 @@
 mod job_state;
 mod liveness;
 mod load_report;
+mod memory;
 mod outcome;
 mod simple_query;
 mod start_conditions;
 mod worker_pool;
 
 pub use events::MemberEvents;
+pub use memory::MemberMemory;
 pub use start_conditions::StartConditions;
 pub use worker_pool::WorkerPool;
 
@@ -61,8 +63,10 @@
         connect_timeout: Duration,
         events: MemberEvents,
         workers: &WorkerPool,
+        memory: &MemberMemory,
     ) -> MemberHandle {
-        let connection = MemberConnection::new(connection_id, address, connect_timeout, events);
+        let memory = memory.clone();
+        let connection = MemberConnection::new(connection_id, address, connect_timeout, events, memory);
         MemberHandle {
             connection: Arc::new(connection),
             workers: workers.clone(),
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -23,7 +23,7 @@
 use crate::core::{ConnectionId, Core};
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::net::client;
-use crate::net::member::{MemberEvents, MemberHandle, WorkerPool};
+use crate::net::member::{MemberEvents, MemberHandle, MemberMemory, WorkerPool};
 use crate::store::Store;
 use crate::{Micros, Settings};
 use crossbeam_channel::Receiver;
@@ -52,6 +52,7 @@
     clients_closed: Receiver<()>,
     workers: WorkerPool,
     member_events: MemberEvents,
+    member_memory: MemberMemory,
     member_connections: HashMap<ConnectionId, MemberHandle>,
     clients: HashMap<ClientId, client::ClientHandle>,
     max_clients: usize,
--- a/src/server/reducer_effects.rs
+++ b/src/server/reducer_effects.rs
@@ -54,7 +54,14 @@
     fn open_connection(&mut self, connection: ConnectionId, address: SocketAddr) {
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout);
         let events = self.member_events.clone();
-        let handle = MemberHandle::new(connection, address, connect_timeout, events, &self.workers);
+        let handle = MemberHandle::new(
+            connection,
+            address,
+            connect_timeout,
+            events,
+            &self.workers,
+            &self.member_memory,
+        );
         self.member_connections.insert(connection, handle);
     }
 
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -16,7 +16,7 @@
 use crate::net::admin::{self, CallSink, LoopUnavailable};
 use crate::net::client::{self, ClientListener, ClientReactor, ReactorEvent, ReactorLimits};
 use crate::net::discovery::DiscoveryKind;
-use crate::net::member::{MemberEvents, WorkerPool};
+use crate::net::member::{MemberEvents, MemberMemory, WorkerPool};
 use crate::store::{Change, State, Store, StoreConfig, StoreError};
 use crate::threads::spawn;
 use crossbeam_channel::bounded;
@@ -191,6 +191,7 @@
             clients_closed,
             workers: WorkerPool::default(),
             member_events: member_events(messages.clone()),
+            member_memory: MemberMemory::new(config.memory_bytes, budget.member_connections),
             member_connections: HashMap::new(),
             clients: HashMap::new(),
             max_clients: budget.clients,
--- a/tests/proxy/support/member.rs
+++ b/tests/proxy/support/member.rs
@@ -81,6 +81,8 @@
     /// The position that the member reports whatever the time is; 0 for none.
     fixed_position_ms: Arc<AtomicU64>,
     connections: Arc<AtomicU64>,
+    /// The value of replies for which the plan has none.
+    value: Arc<Mutex<String>>,
 }
 
 impl MockMember {
@@ -98,6 +100,7 @@
             replication_lag_ms: Arc::default(),
             fixed_position_ms: Arc::default(),
             connections: Arc::default(),
+            value: Arc::new(Mutex::new("value".into())),
         };
         let listening = member.clone();
         std::thread::spawn(move || {
@@ -142,6 +145,16 @@
         self.fixed_position_ms.store(position.unwrap_or(0), Ordering::SeqCst);
     }
 
+    /// Sets the value of replies for which the plan has none.
+    pub fn set_value(&self, value: &str) {
+        *self.value.lock().unwrap() = value.into();
+    }
+
+    /// Returns the value of replies for which the plan has none.
+    pub fn value(&self) -> String {
+        self.value.lock().unwrap().clone()
+    }
+
     /// Appends the behavior for further requests, one per request, to the plan.
     pub fn plan(&self, behaviors: &[MemberBehavior]) {
         self.record.lock().unwrap().plan.extend(behaviors);
