Replies stay within the memory while they are read, and until they are written

Each member connection kept the reply to a batch that it was reading, up to 1 MiB, whatever the others kept, and passed it to the event loop's queue; each client's first waiting reply was kept whatever its length; an idle member connection kept the buffer of its longest message.

Now replies to batches count in a budget of all member connections (an eighth of the memory limit, and a sixteenth in equal parts) until they are in the client's write buffer. One that goes over is given up as an attempt that this proxy has cancelled, which may have run and says nothing about the member. A client whose waiting reply exceeds its part while a quarter of the memory waits for sockets is disconnected as a slow reader. Buffers of idle member connections are freed.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::Micros;
 use crate::extended::ExtendedBatch;
+use crate::memory_budget::HeldBytes;
 use std::ops::Range;
 
 /// The work that a member does for a client's request.
@@ -26,6 +27,9 @@
     /// The replication position that the member reported: of a write, its commit; of a read, the position up
     /// to which the member had applied commits, which may be behind those of the client's session.
     pub position: Option<Micros>,
+    /// Counts the bytes in the budget of all responses until the response is dropped.
+    #[expect(dead_code, reason = "it is dropped")]
+    pub held: Option<HeldBytes>,
 }
 
 /// Converts a duration to milliseconds, rounding up.
--- a/src/front/connection_manager/tests.rs
+++ b/src/front/connection_manager/tests.rs
@@ -87,7 +87,7 @@
 }
 
 fn served(length: usize) -> FinalAnswer<MemberResponse> {
-    FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; length], position: None })
+    FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; length], position: None, held: None })
 }
 
 #[test]
@@ -113,7 +113,8 @@
     let first = started(harness.handle(0, query(1)))[0].id;
     let write = started(harness.handle(0, write_of_another_session(2)))[0].id;
     assert!(started(harness.handle(0, query(3))).is_empty(), "the read waits for the write");
-    let confirmed = FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; 5000], position: Some(77) });
+    let confirmed =
+        FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; 5000], position: Some(77), held: None });
     let effects = harness.manager.answer(&mut harness.registry, 1, CLIENT, write, confirmed);
     assert_eq!(started(effects)[0].min_position, Some(77));
     let replies = harness.answer(2, first, 10);
--- a/src/front/postgres/session_commits/tests.rs
+++ b/src/front/postgres/session_commits/tests.rs
@@ -137,7 +137,7 @@
             *last = position.max(*last);
         }
         assert_eq!(self.registry.close(id), Some(client));
-        let answer = FinalAnswer::Served(MemberResponse { bytes, position: Some(position) });
+        let answer = FinalAnswer::Served(MemberResponse { bytes, position: Some(position), held: None });
         let effects = self.manager.answer(&mut self.registry, 0, client, id, answer);
         self.apply(effects);
     }
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -252,6 +252,15 @@
         state.write_buffer.is_empty() || (answers < MAX_WAITING_ANSWERS && is_half_free)
     }
 
+    /// Whether the waiting answer exceeds the client's part of the memory while those of all clients use twice
+    /// their limit.
+    pub(super) fn exceeds_unwritten_memory(&self, state: &ConnectionState) -> bool {
+        let limits = &self.reactor.limits;
+        let part = limits.max_unwritten_bytes / limits.max_connections;
+        let max_total_bytes = 2 * limits.max_unwritten_bytes;
+        state.write_buffer.exceeds(part, &self.reactor.unwritten_bytes, max_total_bytes)
+    }
+
     /// Counts a command that is about to be reported. Fails if the client exceeds its part of the memory for
     /// commands; the caller must then drop the command's bytes, and report it as rejected.
     pub(super) fn command_received(&self, size: usize) -> Result<(), OverBudget> {
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -40,6 +40,20 @@
     assert_eq!(total.load(Ordering::SeqCst), MAX_TOTAL);
 }
 
+/// Guards against first answers, which are accepted whatever the limits: one of each client could exhaust the
+/// memory if no client reads.
+#[test]
+fn first_answers_exceed_the_memory_only_above_the_part_of_their_client() {
+    let total = AtomicUsize::new(0);
+    let mut buffers = [(); 3].map(|()| WriteBuffer::default());
+    for (buffer, length) in buffers.iter_mut().zip([90, 40, 15]) {
+        assert!(buffer.push(vec![0; length], &total, MAX_TOTAL) == Added::First);
+    }
+    let exceeds = |max_total| buffers.each_ref().map(|buffer| buffer.exceeds(20, &total, max_total));
+    assert_eq!(exceeds(145), [false, false, false]);
+    assert_eq!(exceeds(144), [true, true, false]);
+}
+
 #[test]
 fn flush_writes_answers_in_order_and_subtracts_them_from_the_total() {
     let total = AtomicUsize::new(0);
--- a/src/net/client/write_buffer.rs
+++ b/src/net/client/write_buffer.rs
@@ -50,6 +50,12 @@
         self.answers.iter().map(Vec::len).sum()
     }
 
+    /// Whether the waiting answers have more bytes than `part` while those of all clients have more than
+    /// `max_total_bytes`.
+    pub(super) fn exceeds(&self, part: usize, total_bytes: &AtomicUsize, max_total_bytes: usize) -> bool {
+        self.counted_bytes() > part && total_bytes.load(Ordering::SeqCst) > max_total_bytes
+    }
+
     /// Adds an answer. The first answer in an empty buffer is accepted whatever the limits.
     pub(super) fn push(
         &mut self,
--- a/src/net/member/connection.rs
+++ b/src/net/member/connection.rs
@@ -200,8 +200,10 @@
             state: &job.state,
             conditions: &job.conditions,
             on_written: &|| self.notify(Input::AttemptWritten),
+            response_memory: &self.memory.responses,
         };
         let reply = execution.run(&job.spec, &mut state.statements);
+        open.frames.release_idle_buffer();
         state.open = Some(open);
         reply
     }
--- a/src/net/member/extended_query.rs
+++ b/src/net/member/extended_query.rs
@@ -5,6 +5,7 @@
 use super::load_report::MemberStatus;
 use super::outcome::{INVALID_SQL_STATEMENT_NAME, outcome_of_reply};
 use crate::extended::{BatchExecution, ExtendedBatch, PreparedStatementCache, Progress};
+use crate::memory_budget::HeldBytes;
 use crate::pg::message_tags::{backend, frontend};
 use crate::{Outcome, pg};
 use std::time::Duration;
@@ -20,6 +21,10 @@
     execution: BatchExecution,
     statements: &'a mut PreparedStatementCache,
     status: MemberStatus,
+    /// The bytes of the response, as counted in the budget of all responses.
+    held: HeldBytes,
+    /// Whether the response was given up because the budget is used up.
+    is_over_budget: bool,
 }
 
 impl BatchReplies<'_> {
@@ -32,11 +37,13 @@
     }
 
     /// Reads and handles one reply; returns `None` if the connection ends, the reply is malformed, or the
-    /// response is too long.
+    /// response is too long or exceeds the budget of all responses.
     fn read(&mut self, connection: &mut OpenConnection) -> Option<Progress> {
         loop {
             if let Some((tag, message)) = connection.frames.next_reply().ok()? {
-                return Some(self.on_reply(tag, message));
+                let progress = self.on_reply(tag, message);
+                self.is_over_budget = self.held.try_set(self.execution.response.len()).is_err();
+                return (!self.is_over_budget).then_some(progress);
             }
             if self.execution.response.len() > MAX_RESPONSE_BYTES || !connection.fill().ok()? {
                 return None;
@@ -103,6 +110,8 @@
             execution: BatchExecution::new(batch, statements, time_left),
             statements,
             status: MemberStatus::default(),
+            held: HeldBytes::new(self.response_memory.clone()),
+            is_over_budget: false,
         };
         let pre_execute = std::mem::take(&mut replies.execution.pre_execute);
         if !confirm_first {
@@ -162,9 +171,14 @@
         }
         (self.on_written)();
         if !replies.read_to_end(self.connection) {
-            return JobReply::failed(if executes { Outcome::Reset } else { Outcome::ConnectFailed });
+            return JobReply::failed(match executes {
+                // This says nothing about the member.
+                true if replies.is_over_budget => Outcome::Cancelled,
+                true => Outcome::Reset,
+                false => Outcome::ConnectFailed,
+            });
         }
-        let BatchReplies { execution, status, .. } = replies;
+        let BatchReplies { execution, status, held, .. } = replies;
         let error = execution.error.as_deref();
         if error == Some(INVALID_SQL_STATEMENT_NAME) {
             // The member has lost a prepared statement that the cache of this connection contains. The batch
@@ -172,6 +186,6 @@
             // with an empty cache.
             return JobReply::failed(Outcome::RejectedByMember);
         }
-        JobReply::answered(outcome_of_reply(error), status, execution.response, self.connection)
+        JobReply::answered(outcome_of_reply(error), status, execution.response, held, self.connection)
     }
 }
--- a/src/net/member/job.rs
+++ b/src/net/member/job.rs
@@ -7,6 +7,7 @@
 use crate::core::{JobId, JobResult, JobSpec};
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::extended::PreparedStatementCache;
+use crate::memory_budget::{HeldBytes, MemoryBudget};
 use crate::sockets::TransientErrorRetries;
 use crate::{Outcome, pg};
 use std::io::Write;
@@ -60,12 +61,13 @@
         outcome: Outcome,
         status: MemberStatus,
         bytes: Vec<u8>,
+        held: HeldBytes,
         connection: &OpenConnection,
     ) -> JobReply {
         // With bytes left after a complete reply, the connection is not reused: they would count as part of
         // the next job's reply.
         let reusable = connection.frames.buffered().is_empty();
-        JobReply { job_result: status.into_job_result(outcome, bytes), reusable }
+        JobReply { job_result: status.into_job_result(outcome, bytes, Some(held)), reusable }
     }
 }
 
@@ -80,6 +82,8 @@
     pub(super) conditions: &'a StartConditions,
     /// A function that is called when the last byte of an attempt has been written.
     pub(super) on_written: &'a dyn Fn(),
+    /// The memory of responses to batches that are being read.
+    pub(super) response_memory: &'a Arc<MemoryBudget>,
 }
 
 impl JobExecution<'_> {
--- a/src/net/member/load_report.rs
+++ b/src/net/member/load_report.rs
@@ -6,6 +6,7 @@
 use crate::clock::from_unix_ms;
 use crate::core::JobResult;
 use crate::exchange::MemberResponse;
+use crate::memory_budget::HeldBytes;
 use crate::pg::message_tags::backend;
 use crate::pg::{self, statement};
 use crate::{LoadReport, Micros, Outcome, ResponseMetadata, Role};
@@ -60,9 +61,14 @@
         self.report = parse_load_report(text).unwrap_or_default();
     }
 
-    /// Creates the result of a job with these bytes as its response.
-    pub(super) fn into_job_result(self, outcome: Outcome, bytes: Vec<u8>) -> JobResult<MemberResponse> {
-        let response = MemberResponse { bytes, position: self.metadata.position };
+    /// Creates the result of a job with these bytes as its response, which `held` counts.
+    pub(super) fn into_job_result(
+        self,
+        outcome: Outcome,
+        bytes: Vec<u8>,
+        held: Option<HeldBytes>,
+    ) -> JobResult<MemberResponse> {
+        let response = MemberResponse { bytes, position: self.metadata.position, held };
         JobResult { outcome, metadata: self.metadata, report: self.report, answer: Some(response) }
     }
 }
--- a/src/net/member/simple_query.rs
+++ b/src/net/member/simple_query.rs
@@ -3,6 +3,7 @@
 use super::job::{JobExecution, JobReply};
 use super::load_report::MemberStatus;
 use super::outcome::{outcome_of_error, outcome_of_reply};
+use crate::memory_budget::HeldBytes;
 use crate::pg::message_tags::backend;
 use crate::{Outcome, pg};
 
@@ -124,7 +125,9 @@
         if let Some(load_report) = &reply.load_report {
             reply.status.on_load_report(load_report);
         }
-        JobReply::answered(outcome, reply.status, reply.response, self.connection)
+        let mut held = HeldBytes::new(self.response_memory.clone());
+        held.set(reply.response.len());
+        JobReply::answered(outcome, reply.status, reply.response, held, self.connection)
     }
 }
 
@@ -132,5 +135,5 @@
 /// its SQLSTATE determines the outcome.
 fn disconnected(reply: SimpleQueryReply) -> JobReply {
     let outcome = reply.error.map_or(Outcome::Reset, |code| outcome_of_error(&code));
-    JobReply { job_result: reply.status.into_job_result(outcome, Vec::new()), reusable: false }
+    JobReply { job_result: reply.status.into_job_result(outcome, Vec::new(), None), reusable: false }
 }
--- a/src/pg/frame_reader.rs
+++ b/src/pg/frame_reader.rs
@@ -14,8 +14,8 @@
 const MAX_CONTROL_MESSAGE_BYTES: usize = 16 * 1024;
 /// The maximum number of bytes in one read from the stream.
 const READ_BYTES: usize = 16 * 1024;
-/// The capacity above which an empty buffer is freed.
-const MAX_IDLE_CAPACITY: usize = 4 * READ_BYTES;
+/// The capacity above which the buffer of an idle connection is freed.
+const MAX_IDLE_CAPACITY: usize = 2 * READ_BYTES;
 /// The length of a message's length field. The value of the field includes this length.
 const LENGTH_FIELD_BYTES: usize = 4;
 
@@ -63,11 +63,8 @@
         if self.start > 0 {
             self.discard_consumed();
         }
-        if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE_CAPACITY {
-            // Without this, the memory of a long message would stay allocated until the connection is closed.
-            self.buffer = Vec::new();
-        }
         let filled = self.buffer.len();
+        self.reserve(READ_BYTES);
         self.buffer.resize(filled + READ_BYTES, 0);
         let mut retries = TransientErrorRetries::default();
         let result = loop {
@@ -80,6 +77,14 @@
         result.map(|length| length > 0)
     }
 
+    /// Frees the buffer if it is large and all its bytes have been consumed. Without this, the memory of a long
+    /// message would stay allocated while the connection is idle.
+    pub fn release_idle_buffer(&mut self) {
+        if self.buffered().is_empty() && self.buffer.capacity() > MAX_IDLE_CAPACITY {
+            *self = FrameReader::default();
+        }
+    }
+
     /// Appends bytes that the caller has read from the connection.
     pub fn push(&mut self, bytes: &[u8]) {
         self.discard_consumed();
--- a/tests/proxy/memory_limits.rs
+++ b/tests/proxy/memory_limits.rs
@@ -29,21 +29,13 @@
     next: fn(usize) -> Vec<u8>,
     /// What the members do with requests.
     behavior: MemberBehavior,
-    /// The length of the value in each reply of a member.
-    value_bytes: usize,
     /// The SQLSTATEs of the errors that the clients get; empty if they get none.
     errors: &'static [&'static str],
 }
 
 /// A flood on the extended listener.
-const FLOOD: Flood = Flood {
-    extended: true,
-    next: |_| Vec::new(),
-    behavior: MemberBehavior::Serve,
-
-    value_bytes: 5,
-    errors: &[],
-};
+const FLOOD: Flood =
+    Flood { extended: true, next: |_| Vec::new(), behavior: MemberBehavior::Serve, errors: &[] };
 
 /// A client that sends at full speed.
 struct FloodingClient {
@@ -109,11 +101,8 @@
             client.query(&read_query(id))
         };
         match reply.as_str() {
-            "E(53300) Z" => {}
-            served => {
-                assert!(served.ends_with(") C Z"), "ordinary client {number}: {served:.100}");
-                waiting_since = Instant::now();
-            }
+            SERVED | "1 2 D(value) C Z" => waiting_since = Instant::now(),
+            rejected => assert_eq!(rejected, "E(53300) Z", "ordinary client {number}"),
         }
         assert!(waiting_since.elapsed() < SERVE_TIMEOUT, "ordinary client {number} is not served");
         std::thread::sleep(Duration::from_millis(20));
@@ -135,7 +124,6 @@
     let proxy = Proxy::start_with_limits(&[&primary, &replica], shell, "", LIMITS);
     assert_eq!(proxy.connect().query(&write_query(0, 900)), SERVED);
     primary.plan(&[flood.behavior; 10_000]);
-    [&primary, &replica].iter().for_each(|member| member.set_value(&"v".repeat(flood.value_bytes)));
     let addresses = [proxy.address, proxy.extended_address.unwrap()];
     let over = AtomicBool::new(false);
     let clients = std::thread::scope(|scope| {
@@ -218,8 +206,7 @@
         let fields = format!("id={id:x},c=write,d=4000,cluster=2");
         simple_query(&format!("INSERT INTO entries VALUES ('7f', '\\x{value}') /* {fields} */"))
     };
-    let flood =
-        Flood { extended: false, next, behavior: MemberBehavior::HangOn(b'Q'), errors: &["53300"], ..FLOOD };
+    let flood = Flood { extended: false, next, behavior: MemberBehavior::HangOn(b'Q'), errors: &["53300"] };
     assert_flood_is_bounded(flood);
 }
 
@@ -268,3 +255,24 @@
     };
     assert_flood_is_bounded(Flood { next, ..FLOOD });
 }
+
+/// Guards against replies of members that are long and do not end: each connection kept its own, whatever the
+/// others kept. Giving one up is no evidence against the member, which serves other requests.
+#[test]
+fn incomplete_replies_beyond_the_memory_are_given_up() {
+    let member = MockMember::start(true);
+    member.set_value(&"v".repeat(VALUE_BYTES));
+    let shell = "export GW_OPS=127.0.0.1:0; exec \"$0\" serve --postgres \"$1\"";
+    let limits = "\"sockets\":256,\"memory_mb\":16";
+    let proxy = Proxy::start_with_limits(&[&member], shell, "", limits);
+    assert!(proxy.connect().query(&write_query(0, 900)).ends_with(" C Z"));
+    member.plan(&[MemberBehavior::HangAfterReplyOf(2 * VALUE_BYTES); 100]);
+    let reads = ["B - - | E -"; 10].join("|");
+    let batch = extended_messages(&format!("{} | {reads} | S", READ.replace("P s", "P -")));
+    let mut clients: Vec<_> = (0..8).map(|_| proxy.connect_extended()).collect();
+    clients.iter_mut().for_each(|client| client.send(&batch));
+    wait_for_counter(&proxy, "attempts_failed.cancelled=");
+    assert!(proxy.connect().query(&read_query(1)).ends_with(" C Z"), "shorter replies are served meanwhile");
+    let replies: Vec<_> = clients.iter_mut().map(Client::read_reply).collect();
+    assert!(replies.iter().all(|reply| reply == "E(53300) Z"), "{replies:?}");
+}
--- a/tests/proxy/support/member.rs
+++ b/tests/proxy/support/member.rs
@@ -22,6 +22,8 @@
     ResetOn(u8),
     /// Sends the beginning of a reply, and nothing from then on.
     HangMidReply,
+    /// Answers, or hangs before ReadyForQuery if the reply is longer than this number of bytes.
+    HangAfterReplyOf(usize),
     /// Answers with an error of this SQLSTATE.
     ServeError(&'static str),
     /// Sends these bytes instead of a reply, and nothing from then on.
--- a/tests/proxy/support/member_connection.rs
+++ b/tests/proxy/support/member_connection.rs
@@ -142,6 +142,10 @@
                 let _ = self.events.send(MemberEvent::Hanging);
                 self.read_until_closed()
             }
+            MemberBehavior::HangAfterReplyOf(bytes) if tag == b'S' && self.out.len() > bytes => {
+                self.flush()?;
+                self.read_until_closed()
+            }
             MemberBehavior::HoldReply(_) if is_execution(tag) => self.wait_for_release(),
             MemberBehavior::HoldOn(trigger) if trigger == tag => self.wait_for_release(),
             _ => Some(()),
