Server: the division of the memory limit has a module of its own

The divisors stood in the startup and in the member connections. No value changes; the tests of memory limits, sessions and the extended listener pass.

--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -8,6 +8,7 @@
 mod event_log;
 mod event_loop;
 mod fronts;
+mod memory_division;
 mod messages;
 mod reducer_effects;
 mod service;
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -4,6 +4,7 @@
 use super::endpoint_watch::EndpointWatches;
 use super::event_log::{EventLog, ListSource};
 use super::fronts::Fronts;
+use super::memory_division::MemoryDivision;
 use super::service::max_startup_wait;
 use super::shutdown::Shutdown;
 use super::{LOG_TARGET, Message, Messages, Server, signals};
@@ -12,11 +13,10 @@
 use crate::config::Config;
 use crate::core::Core;
 use crate::front::postgres::{ExtendedListenerConfig, Postgres};
-use crate::memory_budget::MemoryBudget;
 use crate::net::admin::{self, CallSink, LoopUnavailable};
 use crate::net::client::{self, ClientListener, ClientReactor, ReactorEvent, ReactorLimits};
 use crate::net::discovery::DiscoveryKind;
-use crate::net::member::{MemberEvents, MemberMemory, WorkerPool};
+use crate::net::member::{MemberEvents, WorkerPool};
 use crate::store::{Change, State, Store, StoreConfig, StoreError};
 use crate::threads::spawn;
 use crossbeam_channel::bounded;
@@ -27,20 +27,6 @@
 
 /// The most messages to the event loop that are queued; a sender blocks while the queue is full.
 const MESSAGE_QUEUE_CAPACITY: usize = 1024;
-/// Each limit on buffers of all clients together is the memory limit divided by this.
-const BUFFER_MEMORY_DIVISOR: usize = 8;
-/// The memory limit divided by this is what the commands in progress of all clients may take before a client
-/// may not exceed its part.
-const SHARED_COMMAND_MEMORY_DIVISOR: usize = 8;
-/// The memory limit divided by this is guaranteed to the commands in progress of the clients, in equal parts.
-const GUARANTEED_COMMAND_MEMORY_DIVISOR: usize = 8;
-/// The memory limit divided by this is what the prepared statements and portals of all clients may take before
-/// a client may not exceed its part.
-const SHARED_SESSION_MEMORY_DIVISOR: usize = 16;
-/// The memory limit divided by this is guaranteed to the prepared statements and portals of the clients, in
-/// equal parts.
-const GUARANTEED_SESSION_MEMORY_DIVISOR: usize = 8;
-
 /// Why the server could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -98,26 +84,16 @@
     }
 }
 
-fn reactor_limits(max_connections: usize, memory_bytes: usize) -> ReactorLimits {
-    let buffer_bytes = memory_bytes / BUFFER_MEMORY_DIVISOR;
-    let shared = memory_bytes / SHARED_COMMAND_MEMORY_DIVISOR;
-    let guaranteed = memory_bytes / GUARANTEED_COMMAND_MEMORY_DIVISOR;
+fn reactor_limits(max_connections: usize, memory: &MemoryDivision) -> ReactorLimits {
     ReactorLimits {
         max_connections,
-        max_unwritten_bytes: buffer_bytes,
-        max_unanswered_command_bytes: buffer_bytes,
-        command_memory: MemoryBudget::new(shared, guaranteed, max_connections),
-        max_incomplete_command_bytes: buffer_bytes,
+        max_unwritten_bytes: memory.buffer_bytes,
+        max_unanswered_command_bytes: memory.buffer_bytes,
+        command_memory: memory.commands.clone(),
+        max_incomplete_command_bytes: memory.buffer_bytes,
     }
 }
 
-/// The budget for the prepared statements and portals of this many clients.
-fn session_memory(memory_bytes: usize, clients: usize) -> Arc<MemoryBudget> {
-    let shared = memory_bytes / SHARED_SESSION_MEMORY_DIVISOR;
-    let guaranteed = memory_bytes / GUARANTEED_SESSION_MEMORY_DIVISOR;
-    MemoryBudget::new(shared, guaranteed, clients)
-}
-
 /// The kind of discovery service that the settings specify.
 fn discovery_kind(settings: &Settings) -> DiscoveryKind {
     match settings.list_on_request {
@@ -164,15 +140,14 @@
         let inherited_listener = config.listen_fd.is_some();
         let budget =
             DescriptorBudget::new(config.max_descriptors, config.admin_listen.is_some(), inherited_listener);
-        let buffer_bytes = config.memory_bytes / BUFFER_MEMORY_DIVISOR;
+        let memory = MemoryDivision::new(config.memory_bytes, &budget);
         let settings = Arc::new(config.settings.clone());
-        let session_memory = session_memory(config.memory_bytes, budget.clients);
-        let postgres =
-            extended.map(|listen| Postgres::new(listen, settings.clone(), session_memory)).transpose();
+        let new_front = |listen| Postgres::new(listen, settings.clone(), memory.sessions.clone());
+        let postgres = extended.map(new_front).transpose();
         let postgres = postgres.map_err(std::io::Error::other)?;
         let reducer = Core::new(config.settings.clone(), config.seed, clock.now(), budget.member_connections);
         let (alive, clients_closed) = bounded(0);
-        let limits = reactor_limits(budget.client_connections, config.memory_bytes);
+        let limits = reactor_limits(budget.client_connections, &memory);
         let (reactor, client_reactor) = ClientReactor::new(
             listeners,
             limits,
@@ -184,14 +159,14 @@
         let server = Server {
             clock,
             reducer,
-            fronts: Fronts::new(postgres, buffer_bytes),
+            fronts: Fronts::new(postgres, memory.buffer_bytes),
             settings,
             store,
             client_reactor,
             clients_closed,
             workers: WorkerPool::default(),
             member_events: member_events(messages.clone()),
-            member_memory: MemberMemory::new(config.memory_bytes, budget.member_connections),
+            member_memory: memory.members,
             member_connections: HashMap::new(),
             clients: HashMap::new(),
             max_clients: budget.clients,
