--- a/tests/proxy/memory_limits.rs
+++ b/tests/proxy/memory_limits.rs
@@ -25,8 +25,8 @@
 struct Flood {
     /// Whether the clients connect to the extended listener.
     extended: bool,
-    /// Returns what a client sends next, given how often it has sent before.
-    next: fn(usize) -> Vec<u8>,
+    /// Returns what a client sends next, given its number and how often it has sent before.
+    next: fn(usize, usize) -> Vec<u8>,
     /// What the members do with requests.
     behavior: MemberBehavior,
     /// The SQLSTATEs of the errors that the clients get; empty if they get none.
@@ -35,10 +35,11 @@
 
 /// A flood on the extended listener.
 const FLOOD: Flood =
-    Flood { extended: true, next: |_| Vec::new(), behavior: MemberBehavior::Serve, errors: &[] };
+    Flood { extended: true, next: |_, _| Vec::new(), behavior: MemberBehavior::Serve, errors: &[] };
 
 /// A client that sends at full speed.
 struct FloodingClient {
+    number: usize,
     stream: TcpStream,
     unsent: Vec<u8>,
     sent_count: usize,
@@ -47,16 +48,16 @@
 }
 
 impl FloodingClient {
-    fn connect(address: SocketAddr) -> FloodingClient {
+    fn connect(address: SocketAddr, number: usize) -> FloodingClient {
         let stream = Client::connect(address).stream;
         stream.set_nonblocking(true).unwrap();
-        FloodingClient { stream, unsent: Vec::new(), sent_count: 0, is_open: true, got_error: false }
+        FloodingClient { number, stream, unsent: Vec::new(), sent_count: 0, is_open: true, got_error: false }
     }
 
     /// Sends and reads as much as the socket takes and has.
     fn advance(&mut self, flood: Flood, read_buffer: &mut [u8]) {
         if self.unsent.is_empty() {
-            self.unsent = (flood.next)(self.sent_count);
+            self.unsent = (flood.next)(self.number, self.sent_count);
             self.sent_count += 1;
         }
         match self.stream.write(&self.unsent) {
@@ -143,7 +144,8 @@
 }
 
 fn run_flood(address: SocketAddr, flood: Flood) -> Vec<FloodingClient> {
-    let mut clients: Vec<_> = (0..FLOODING_CLIENTS).map(|_| FloodingClient::connect(address)).collect();
+    let mut clients: Vec<_> =
+        (0..FLOODING_CLIENTS).map(|number| FloodingClient::connect(address, number)).collect();
     let mut read_buffer = vec![0; 64 * 1024];
     let start = Instant::now();
     while start.elapsed() < FLOOD_DURATION {
@@ -167,18 +169,18 @@
 /// Guards against portals whose bytes are few but which are many: each takes memory besides its bytes.
 #[test]
 fn small_portals_without_a_sync_do_not_exhaust_the_memory() {
-    let next = |batch| bind_portals(batch, 1000, "7f");
+    let next = |_, batch| bind_portals(batch, 1000, "7f");
     assert_flood_is_bounded(Flood { next, errors: &["53200"], ..FLOOD });
 }
 /// Guards against portals that are kept without bound until a Sync, which the client never sends.
 #[test]
 fn portals_without_a_sync_do_not_exhaust_the_memory() {
-    let next = |batch| bind_portals(batch, 4, &"7".repeat(VALUE_BYTES));
+    let next = |_, batch| bind_portals(batch, 4, &"7".repeat(VALUE_BYTES));
     assert_flood_is_bounded(Flood { next, errors: &["53200"], ..FLOOD });
 }
 
 /// Returns a batch of writes whose values are as large as a batch admits.
-fn large_batch(_: usize) -> Vec<u8> {
+fn large_batch() -> Vec<u8> {
     let write = format!("B - - {} | E -", "7".repeat(VALUE_BYTES));
     let statement = "P - INSERT INTO entries VALUES ($1, 'x') /* d=4000 */";
     extended_messages(&format!("{statement} | {} | S", [write.as_str(); 4].join("|")))
@@ -189,7 +191,7 @@
 #[test]
 fn large_batches_in_progress_do_not_exhaust_the_memory() {
     assert_flood_is_bounded(Flood {
-        next: large_batch,
+        next: |_, _| large_batch(),
         behavior: MemberBehavior::HangOn(b'E'),
         errors: &["53300"],
         ..FLOOD
@@ -200,7 +202,7 @@
 #[test]
 fn large_queries_in_progress_do_not_exhaust_the_memory() {
     static LAST_ID: AtomicU32 = AtomicU32::new(1_000_000);
-    let next = |_: usize| {
+    let next = |_, _| {
         let value = "7".repeat(2 * VALUE_BYTES);
         let id = LAST_ID.fetch_add(1, Ordering::SeqCst);
         let fields = format!("id={id:x},c=write,d=4000,cluster=2");
@@ -210,13 +212,18 @@
     assert_flood_is_bounded(flood);
 }
 
+/// Returns a batch without an end, which is sent once.
+fn incomplete_batch(sent_count: usize) -> Vec<u8> {
+    match sent_count {
+        0 => extended_messages(&[format!("B - s {}", "7".repeat(VALUE_BYTES)).as_str(); 4].join("|")),
+        _ => Vec::new(),
+    }
+}
+
 /// Guards against incomplete commands, of which those of other clients were closed instead of the longest.
 #[test]
 fn incomplete_batches_do_not_exhaust_the_memory() {
-    let next = |count| match count {
-        0 => extended_messages(&[format!("B - s {}", "7".repeat(VALUE_BYTES)).as_str(); 4].join("|")),
-        _ => Vec::new(),
-    };
+    let next = |_, sent_count| incomplete_batch(sent_count);
     assert_flood_is_bounded(Flood { next, errors: &["08P01"], ..FLOOD });
 }
 
@@ -245,15 +252,30 @@
     assert!(closed.count() > 0, "the clients with the longest commands get an error");
 }
 
+/// Returns a batch with a statement that no other batch has.
+fn distinct_statement() -> Vec<u8> {
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let text = format!("{}{}", LAST.fetch_add(1, Ordering::SeqCst), "x".repeat(8_000));
+    extended_messages(&format!("P - SELECT '{text}' /* c=any,d=900 */ | B - - | E - | S"))
+}
+
 /// Guards against statements that are kept for all clients: by member connections and for the catalogue.
 #[test]
 fn distinct_statements_do_not_exhaust_the_memory() {
-    static LAST: AtomicU32 = AtomicU32::new(0);
-    let next = |_: usize| {
-        let text = format!("{}{}", LAST.fetch_add(1, Ordering::SeqCst), "x".repeat(8_000));
-        extended_messages(&format!("P - SELECT '{text}' /* c=any,d=900 */ | B - - | E - | S"))
+    assert_flood_is_bounded(Flood { next: |_, _| distinct_statement(), ..FLOOD });
+}
+
+/// Guards against limits that hold each by itself, and together exceed the memory.
+#[test]
+fn floods_of_several_kinds_do_not_exhaust_the_memory_together() {
+    let next = |number: usize, sent_count| match number % 4 {
+        0 => bind_portals(sent_count, 4, &"7".repeat(VALUE_BYTES)),
+        1 => incomplete_batch(sent_count),
+        2 => distinct_statement(),
+        _ => large_batch(),
     };
-    assert_flood_is_bounded(Flood { next, ..FLOOD });
+    let behavior = MemberBehavior::HangOn(b'E');
+    assert_flood_is_bounded(Flood { next, behavior, errors: &["53200", "53300", "08P01"], ..FLOOD });
 }
 
 /// Guards against replies of members that are long and do not end: each connection kept its own, whatever the
