--- a/src/extended/statement_cache.rs
+++ b/src/extended/statement_cache.rs
@@ -80,8 +80,8 @@
         self.entries.len()
     }
 
-    /// Evicts statements until this one fits within the limits, or none is left, and counts its bytes. Returns
-    /// the names of the evicted statements, least recently used first.
+    /// Evicts statements until this one fits within the limits, or none is left, and counts its bytes.
+    /// Returns the names of the evicted statements, least recently used first.
     fn evict_for(&mut self, statement: &PreparedStatement) -> Vec<String> {
         let mut evicted = Vec::new();
         while !self.try_hold(statement) {
--- a/src/front/pipeline.rs
+++ b/src/front/pipeline.rs
@@ -85,8 +85,8 @@
     }
 }
 
-/// The number of sessions, in one group each, whose replied writes a connection remembers. No more writes can be
-/// in a pipeline together with a read that must see them.
+/// The number of sessions, in one group each, whose replied writes a connection remembers. No more writes can
+/// be in a pipeline together with a read that must see them.
 const MAX_REPLIED_SESSIONS: usize = 8;
 
 /// A request that no longer waits for earlier commands.
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -27,7 +27,8 @@
     pub timeout: Micros,
     /// The commit position that a read must see, as time on the core's clock.
     pub required_position: Option<Micros>,
-    /// Whether an execution may write. The proxy cannot tell whether a WITH does, so it counts as one that may.
+    /// Whether an execution may write. The proxy cannot tell whether a WITH does, so it counts as one that
+    /// may.
     pub may_write: bool,
     /// Whether the client marked the statement as a retry.
     pub is_retry: bool,
--- a/src/front/postgres/session_commits.rs
+++ b/src/front/postgres/session_commits.rs
@@ -3,8 +3,8 @@
 use crate::{Micros, SessionInGroup};
 use std::collections::{BTreeMap, VecDeque};
 
-/// The maximum number of remembered commits, over all clients. The session whose first commit is the oldest is
-/// evicted first.
+/// The maximum number of remembered commits, over all clients. The session whose first commit is the oldest
+/// is evicted first.
 const MAX_COMMITS: usize = 16 * 1024;
 
 /// The position of the last commit of each session in each group.
@@ -21,8 +21,8 @@
         self.positions.get(&session).copied()
     }
 
-    /// Records the position of a commit. Answers may arrive in another order than that of the commits, and the
-    /// answer to a repeated write holds the commit of its first run, so a later position is kept.
+    /// Records the position of a commit. Answers may arrive in another order than that of the commits, and
+    /// the answer to a repeated write holds the commit of its first run, so a later position is kept.
     pub fn record(&mut self, session: SessionInGroup, position: Micros) {
         let last = self.positions.entry(session).or_insert_with(|| {
             self.insertion_order.push_back(session);
--- a/src/front/postgres/session_commits/tests.rs
+++ b/src/front/postgres/session_commits/tests.rs
@@ -72,8 +72,8 @@
         self.apply(effects);
     }
 
-    /// Records the requests that were started, and asserts that a read of own writes must see the commits that
-    /// its session had been told of, and no position that is not a commit.
+    /// Records the requests that were started, and asserts that a read of own writes must see the commits
+    /// that its session had been told of, and no position that is not a commit.
     fn apply(&mut self, effects: Vec<FrontEffect>) {
         for effect in effects {
             match effect {
@@ -115,8 +115,8 @@
         self.handle(client, ClientEvent::Command(batch));
     }
 
-    /// Answers one of the running requests: with an error, with a reply that may exceed the reorder buffer, or
-    /// with a position in no particular order.
+    /// Answers one of the running requests: with an error, with a reply that may exceed the reorder buffer,
+    /// or with a position in no particular order.
     fn answer_any(&mut self) {
         if self.running.is_empty() {
             return;
@@ -191,8 +191,8 @@
     Settings { classes: classes.into(), class_names: class_names.into(), ..Settings::default() }
 }
 
-/// Guards against a session that forgets a commit: answers of reads, answers out of order, errors, replies that
-/// are replaced by errors, other groups, and connections that end must not hide it.
+/// Guards against a session that forgets a commit: answers of reads, answers out of order, errors, replies
+/// that are replaced by errors, other groups, and connections that end must not hide it.
 #[test]
 fn a_sessions_knowledge_of_its_commits_never_goes_backward() {
     for seed in 1..=50 {
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -62,8 +62,8 @@
         Vec::new()
     }
 
-    /// Records a commit that a member has confirmed in its response to a request, whatever is then sent to the
-    /// client.
+    /// Records a commit that a member has confirmed in its response to a request, whatever is then sent to
+    /// the client.
     fn record_commit(&mut self, _context: &Self::Context, _response: &MemberResponse) {}
 
     /// Builds the reply to a request that [`Protocol::start`] forwarded, with ReadyForQuery where the
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -263,7 +263,8 @@
         self.incomplete_command_bytes
     }
 
-    /// Discards the bytes that are not parsed and the messages of an incomplete batch, and subtracts those of the incomplete command from the total.
+    /// Discards the bytes that are not parsed and the messages of an incomplete batch, and subtracts those of
+    /// the incomplete command from the total.
     pub(super) fn drop_incomplete_command(&mut self, total: &mut usize) {
         *total -= self.incomplete_command_bytes;
         self.incomplete_command_bytes = 0;
--- a/src/net/client/handle.rs
+++ b/src/net/client/handle.rs
@@ -17,8 +17,8 @@
 
 impl ClientHandle {
     /// Writes an answer to the socket, or queues it; `false` if the limits on waiting answers are exceeded or
-    /// the socket can't be written to any more. A first answer may exceed the limits by what the socket has not
-    /// accepted, unless the client then exceeds its part of the memory.
+    /// the socket can't be written to any more. A first answer may exceed the limits by what the socket has
+    /// not accepted, unless the client then exceeds its part of the memory.
     pub fn write(&self, bytes: Vec<u8>) -> bool {
         let shared = &self.shared;
         let reactor = &shared.reactor;
--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -60,9 +60,10 @@
         connection.deadline = deadline;
     }
 
-    /// Closes the connections with the longest incomplete commands until the total is within its limit. Without
-    /// the limit, many clients that each send part of a long message could exhaust the memory; if the client
-    /// that exceeds it were closed, clients that send short commands would be closed for those of others.
+    /// Closes the connections with the longest incomplete commands until the total is within its limit.
+    /// Without the limit, many clients that each send part of a long message could exhaust the memory; if the
+    /// client that exceeds it were closed, clients that send short commands would be closed for those of
+    /// others.
     fn close_longest_incomplete_commands(&mut self) {
         while self.incomplete_command_bytes > self.shared.limits.max_incomplete_command_bytes {
             let bytes = |connection: &ClientConnection| connection.incomplete_command_bytes();
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -130,8 +130,8 @@
 /// The part of a connection's shared state that is protected by a lock.
 pub(super) struct ConnectionState {
     pub(super) write_buffer: WriteBuffer,
-    /// The sizes in bytes of the unanswered commands, in the order of their arrival; 0 for a command whose bytes
-    /// were dropped.
+    /// The sizes in bytes of the unanswered commands, in the order of their arrival; 0 for a command whose
+    /// bytes were dropped.
     unanswered_command_sizes: VecDeque<usize>,
     /// The sum of these sizes.
     unanswered_command_bytes: HeldBytes,
@@ -252,8 +252,8 @@
         state.write_buffer.is_empty() || (answers < MAX_WAITING_ANSWERS && is_half_free)
     }
 
-    /// Whether the waiting answer exceeds the client's part of the memory while those of all clients use twice
-    /// their limit.
+    /// Whether the waiting answer exceeds the client's part of the memory while those of all clients use
+    /// twice their limit.
     pub(super) fn exceeds_unwritten_memory(&self, state: &ConnectionState) -> bool {
         let limits = &self.reactor.limits;
         let part = limits.max_unwritten_bytes / limits.max_connections;
--- a/src/pg/frame_reader.rs
+++ b/src/pg/frame_reader.rs
@@ -77,8 +77,8 @@
         result.map(|length| length > 0)
     }
 
-    /// Frees the buffer if it is large and all its bytes have been consumed. Without this, the memory of a long
-    /// message would stay allocated while the connection is idle.
+    /// Frees the buffer if it is large and all its bytes have been consumed. Without this, the memory of a
+    /// long message would stay allocated while the connection is idle.
     pub fn release_idle_buffer(&mut self) {
         if self.buffered().is_empty() && self.buffer.capacity() > MAX_IDLE_CAPACITY {
             *self = FrameReader::default();
