A connection with an unanswered command is closed last for what clients have not completed

A client that had an unanswered command before its long one would have lost its answer for what others send.

Connections over their part of the limit without an unanswered command now come first.

--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -66,16 +66,26 @@
     /// others.
     fn close_longest_incomplete_commands(&mut self) {
         while self.incomplete_command_bytes > self.shared.limits.max_incomplete_command_bytes {
-            let bytes = |connection: &ClientConnection| connection.incomplete_command_bytes();
-            let longest = self.connections.iter().max_by_key(|(_, connection)| bytes(connection));
-            let Some((&id, connection)) = longest.filter(|(_, connection)| bytes(connection) > 0) else {
-                return;
-            };
-            connection.report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
+            let Some(id) = self.longest_incomplete_command() else { return };
+            self.connections[&id]
+                .report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
             self.start_closing(id, COMMAND_TIMEOUT);
         }
     }
 
+    /// The connection with the longest incomplete command. Connections that exceed their part of the limit and
+    /// have no unanswered command come first, as the close of another one would lose the answer.
+    fn longest_incomplete_command(&self) -> Option<ClientId> {
+        let limits = &self.shared.limits;
+        let part = limits.max_incomplete_command_bytes / limits.max_connections;
+        let rank = |connection: &ClientConnection| {
+            let bytes = connection.incomplete_command_bytes();
+            (bytes > part && !connection.shared.has_unanswered_commands(), bytes)
+        };
+        let longest = self.connections.iter().max_by_key(|(_, connection)| rank(connection));
+        longest.filter(|(_, connection)| connection.incomplete_command_bytes() > 0).map(|(id, _)| *id)
+    }
+
     /// Removes closing connections whose deadline has passed, and starts to close open connections that have
     /// not completed a command in time. Otherwise clients that connect and send nothing, or never complete a
     /// message, would use up connections forever.
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -224,6 +224,11 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
+    /// Whether a complete command of the client has not been answered yet.
+    pub(super) fn has_unanswered_commands(&self) -> bool {
+        !self.state().unanswered_command_sizes.is_empty()
+    }
+
     /// Whether another command may be read. If not, pauses reading until a command has been answered or
     /// answers have been written.
     pub(super) fn has_capacity(&self) -> bool {
--- a/tests/proxy/memory_limits.rs
+++ b/tests/proxy/memory_limits.rs
@@ -240,6 +240,13 @@
     let mut others: Vec<_> = (0..17).map(|_| proxy.connect_extended()).collect();
     others.iter_mut().for_each(|other| other.send(&incomplete));
     std::thread::sleep(Duration::from_millis(300));
+    // The longest incomplete command follows a write that has no answer yet, which must not be lost.
+    primary.plan(&[MemberBehavior::HoldReply("held")]);
+    let mut pipelining = proxy.connect_extended();
+    pipelining.send(&extended_messages("P - INSERT INTO entries VALUES ($1) /* d=9000 */ | B - - | E - | S"));
+    primary.wait_for(MemberEvent::ReplyHeld);
+    pipelining.send(&extended_messages(&[format!("B - s {}", "7".repeat(64_000)).as_str(); 4].join("|")));
+    std::thread::sleep(Duration::from_millis(100));
     let value = "7".repeat(2 * VALUE_BYTES);
     let fields = "id=1,c=write,d=4000,cluster=2";
     let query = simple_query(&format!("INSERT INTO entries VALUES ('7f', '\\x{value}') /* {fields} */"));
@@ -248,6 +255,8 @@
     std::thread::sleep(Duration::from_millis(300));
     client.send(second);
     assert_eq!(client.read_reply(), SERVED);
+    primary.release_replies(1);
+    assert_eq!(pipelining.read_reply(), "1 2 D(held) C Z");
     let closed = others.iter_mut().map(Client::read_reply).filter(|reply| reply == "E(08P01) end");
     assert!(closed.count() > 0, "the clients with the longest commands get an error");
 }
