--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -73,8 +73,8 @@
         }
     }
 
-    /// The connection with the longest incomplete command. Connections that exceed their part of the limit and
-    /// have no unanswered command come first, as the close of another one would lose the answer.
+    /// The connection with the longest incomplete command. Connections that exceed their part of the limit
+    /// and have no unanswered command come first, as the close of another one would lose the answer.
     fn longest_incomplete_command(&self) -> Option<ClientId> {
         let limits = &self.shared.limits;
         let part = limits.max_incomplete_command_bytes / limits.max_connections;
