Review, case 9: a session's commit is forgotten in the order of first commits

Cause: the extended front evicts the session whose first commit is oldest, however late its last one is. Change: the case takes the place of the one on replicas that have just joined, whose member could not have known the position either; the stand-ins follow.

--- a/review/standins-2/case_foreign_statement.rs
+++ b/review/standins-2/case_foreign_statement.rs
@@ -20,7 +20,7 @@
     let folder = temporary_folder();
     let group = Group::new(record, 12, false);
     let names = ["db-1", "db-2", "db-3", "db-4"];
-    let members: Vec<_> = names.iter().map(|name| Member::start(name, &group, *name == "db-1", 0)).collect();
+    let members: Vec<_> = names.iter().map(|name| Member::start(name, &group, *name == "db-1")).collect();
     if trouble {
         members[0].choose(super::member::one_in(TURNED_AWAY, Fault::TurnAway));
     }
--- a/review/standins-2/case_list_after_restart.rs
+++ b/review/standins-2/case_list_after_restart.rs
@@ -21,7 +21,7 @@
     let folder = temporary_folder();
     let group = Group::new(record, 12, true);
     let names = ["db-1", "db-2", "db-3", "db-4", "db-5"];
-    let members: Vec<_> = names.iter().map(|name| Member::start(name, &group, *name == "db-1", 0)).collect();
+    let members: Vec<_> = names.iter().map(|name| Member::start(name, &group, *name == "db-1")).collect();
     let entries: Vec<_> = members.iter().map(|member| entry(member, 0, "SERVING", "")).collect();
     let discovery = Discovery::start(record, 41, entries);
     // The configurations hold the list as the proxies had it when the files were written.
--- a/review/standins-2/discovery.rs
+++ b/review/standins-2/discovery.rs
@@ -26,9 +26,9 @@
 
 /// An entry of the list.
 pub fn entry(member: &Member, group: u32, state: &str, recovery: &str) -> (String, String) {
-    let (uid, address, boot) = (&member.name, member.address, member.boot_ms);
+    let (uid, address) = (&member.name, member.address);
     let text = format!(
-        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m1","pod_group":{group},"state":"{state}","capacity_hint":1.0,"boot_ms":{boot},"recovery":"{recovery}"}}"#
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m1","pod_group":{group},"state":"{state}","capacity_hint":1.0,"boot_ms":0,"recovery":"{recovery}"}}"#
     );
     (uid.clone(), text)
 }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,10 +4,10 @@
 //! held and with 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod case_foreign_statement;
+mod case_forgotten_commit;
 mod case_keyed_twice;
 mod case_list_after_restart;
 mod case_refused_after_run;
-mod case_stale_own_read;
 mod client;
 mod discovery;
 mod member;
@@ -35,7 +35,7 @@
         "6" => case_refused_after_run::play(&record, trouble),
         "7" => case_foreign_statement::play(&record, trouble),
         "8" => case_keyed_twice::play(&record, trouble),
-        "9" => case_stale_own_read::play(&record, trouble),
+        "9" => case_forgotten_commit::play(&record, trouble),
         "10" => case_list_after_restart::play(&record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
--- a/review/standins-2/member.rs
+++ b/review/standins-2/member.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -74,12 +74,10 @@
 pub struct Member {
     pub name: String,
     pub address: SocketAddr,
-    pub boot_ms: u64,
     primary: AtomicBool,
     group: Arc<Group>,
-    /// How far this member was behind when it joined, and when that was; it catches up at twice the speed of time.
-    joined_behind_ms: AtomicU64,
-    joined_at_ms: u64,
+    /// When this replica began to fall behind, and by how much it will be behind.
+    falls_behind: Mutex<Option<(u64, u64)>>,
     /// The fault for a unit, asked once for each: its messages' texts are the argument.
     chooser: Mutex<Box<dyn FnMut(&str) -> Option<Fault> + Send>>,
     /// The load report is refreshed at this interval.
@@ -91,16 +89,14 @@
 const REPORT_INTERVAL_MS: u64 = 100;
 
 impl Member {
-    pub fn start(name: &str, group: &Arc<Group>, primary: bool, behind_ms: u64) -> Arc<Member> {
+    pub fn start(name: &str, group: &Arc<Group>, primary: bool) -> Arc<Member> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let member = Arc::new(Member {
             name: name.into(),
             address: listener.local_addr().unwrap(),
-            boot_ms: if behind_ms > 0 { unix_ms() } else { 0 },
             primary: AtomicBool::new(primary),
             group: group.clone(),
-            joined_behind_ms: AtomicU64::new(behind_ms),
-            joined_at_ms: unix_ms(),
+            falls_behind: Mutex::new(None),
             chooser: Mutex::new(Box::new(|_| None)),
             report: Mutex::new((0, 0)),
         });
@@ -125,14 +121,23 @@
         self.primary.load(Ordering::SeqCst)
     }
 
+    /// Lets a replica fall behind from now on: it applies the log at half the speed of time until it is behind by so
+    /// much, and stays behind by that.
+    pub fn fall_behind(&self, most_ms: u64) {
+        *self.falls_behind.lock().unwrap() = Some((unix_ms(), most_ms));
+    }
+
     /// The time up to which this member has applied every commit.
     pub fn position(&self) -> u64 {
         let now = unix_ms();
         if self.is_primary() {
             return now;
         }
-        let behind = self.joined_behind_ms.load(Ordering::SeqCst);
-        now - behind.saturating_sub(now - self.joined_at_ms).max(SHIP_MS)
+        let behind = match *self.falls_behind.lock().unwrap() {
+            Some((since, most)) => (now.saturating_sub(since) / 2).min(most),
+            None => 0,
+        };
+        now - behind.max(SHIP_MS)
     }
 
     /// The position in the load report, which is refreshed now and then.
