--- a/review/standins-2/case_list_after_restart.rs
+++ b/review/standins-2/case_list_after_restart.rs
@@ -1,5 +1,5 @@
-//! Two proxies, each with a store of its own on disk, where discovery is asked. One of them dies and is restarted
-//! after a member has begun to drain.
+//! Two proxies, each with a store of its own on disk, where discovery is asked. One of them is restarted as
+//! planned, after a member has begun to drain.
 
 use super::Verdict;
 use super::client::{Answer, Client};
@@ -14,6 +14,8 @@
 
 /// The rule's span: a proxy may not reject all that it gets for so long, with no attempt in between.
 const SPAN: Duration = Duration::from_secs(4);
+/// SIGKILL comes so long after SIGTERM: the longest deadline and 0.7 s.
+const KILLED_AFTER: Duration = Duration::from_millis(3700);
 /// The rule's number: it counts where the proxy got at least so many requests.
 const REQUESTS: usize = 15;
 
@@ -49,8 +51,7 @@
         return Verdict::CouldNotRun("the proxy did not serve before its restart".into());
     }
     if trouble {
-        proxy.kill();
-        std::thread::sleep(Duration::from_millis(1500));
+        proxy.terminate(KILLED_AFTER);
         proxy = start("n1", listen);
         if !wait_until_ready(listen) {
             return Verdict::CouldNotRun("the proxy was not ready within 10 s after its restart".into());
--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -60,10 +60,17 @@
         Process::start(name, &command, folder, &variables, record)
     }
 
-    pub fn kill(&mut self) {
-        self.record.line(format!("kill {}", self.name));
+    /// A planned restart's end: SIGTERM, and SIGKILL after `patience`.
+    pub fn terminate(&mut self, patience: Duration) {
+        self.record.line(format!("SIGTERM to {}", self.name));
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+        let start = Instant::now();
+        while start.elapsed() < patience && matches!(self.child.try_wait(), Ok(None)) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let ended = self.child.wait();
+        self.record.line(format!("{} ended after {} ms: {ended:?}", self.name, start.elapsed().as_millis()));
     }
 }
 
