--- a/review/standins-2/case_list_after_restart.rs
+++ b/review/standins-2/case_list_after_restart.rs
@@ -5,7 +5,7 @@
 use super::client::{Answer, Client};
 use super::discovery::{Discovery, entry};
 use super::member::{Group, Member};
-use super::process::{Process, free_address, temporary_folder, wait_until_ready};
+use super::process::{Process, free_address, store_status, temporary_folder, wait_until_ready};
 use super::record::Record;
 use super::settings;
 use std::net::SocketAddr;
@@ -44,12 +44,19 @@
         let record = record.clone();
         std::thread::spawn(move || requests(other_listen, Duration::from_secs(20), "n2", &record))
     };
+    let kept = |phase: &str| {
+        let status = store_status(&folder.join("n1-store.toml")).concat();
+        let count = names.iter().filter(|name| status.contains(&format!("\"uid\":\"{name}\""))).count();
+        record.line(format!("{phase}: {status}"));
+        record.say(format!("{phase}: the store of n1 keeps {count} of {} members", names.len()));
+    };
     let before = requests(listen, Duration::from_secs(3), "before", record);
     discovery.change(entry(&members[4], 0, "DRAINING", ""));
     let drained = requests(listen, Duration::from_secs(3), "after the drain", record);
     if served(&before) < REQUESTS || served(&drained) < REQUESTS {
         return Verdict::CouldNotRun("the proxy did not serve before its restart".into());
     }
+    kept("before the restart");
     if trouble {
         proxy.terminate(KILLED_AFTER);
         proxy = start("n1", listen);
@@ -75,7 +82,9 @@
 fn store_file(folder: &Path, name: &str) -> PathBuf {
     let file = folder.join(format!("{name}-store.toml"));
     let data = folder.join(format!("{name}-data"));
-    std::fs::write(&file, format!("id = 1\ndata = \"{}\"\n", data.display())).unwrap();
+    let address = free_address();
+    let replica = format!("[[replica]]\nid = 1\naddress = \"{address}\"\n");
+    std::fs::write(&file, format!("id = 1\ndata = \"{}\"\n{replica}", data.display())).unwrap();
     file
 }
 
--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -96,6 +96,14 @@
     false
 }
 
+/// What the replicas that a file names say of themselves, a line of JSON each.
+pub fn store_status(file: &Path) -> Vec<String> {
+    let mut command = Command::new("target/release/liftrelay");
+    command.args(["store", "--file", &file.display().to_string(), "status"]).stderr(Stdio::null());
+    let output = command.output().map(|output| output.stdout).unwrap_or_default();
+    String::from_utf8_lossy(&output).lines().map(String::from).collect()
+}
+
 /// The temporary folder of this run.
 pub fn temporary_folder() -> PathBuf {
     let base = std::env::var("CASE_TMP").expect("run.sh sets CASE_TMP");
