--- a/review/standins-2/member.rs
+++ b/review/standins-2/member.rs
@@ -76,6 +76,8 @@
     pub address: SocketAddr,
     primary: AtomicBool,
     group: Arc<Group>,
+    /// Whether this member takes requests and answers none.
+    hangs: AtomicBool,
     /// When this replica began to fall behind, and by how much it will be behind.
     falls_behind: Mutex<Option<(u64, u64)>>,
     /// The fault for a unit, asked once for each: its messages' texts are the argument.
@@ -96,6 +98,7 @@
             address: listener.local_addr().unwrap(),
             primary: AtomicBool::new(primary),
             group: group.clone(),
+            hangs: AtomicBool::new(false),
             falls_behind: Mutex::new(None),
             chooser: Mutex::new(Box::new(|_| None)),
             report: Mutex::new((0, 0)),
@@ -121,6 +124,12 @@
         self.primary.load(Ordering::SeqCst)
     }
 
+    /// Lets the member take requests and answer none from now on.
+    pub fn hang(&self) {
+        self.group.record.line(format!("{} hangs from now on", self.name));
+        self.hangs.store(true, Ordering::SeqCst);
+    }
+
     /// Lets a replica fall behind from now on: it applies the log at half the speed of time until it is behind by so
     /// much, and stays behind by that.
     pub fn fall_behind(&self, most_ms: u64) {
@@ -256,6 +265,9 @@
         self.flush()?;
         loop {
             let (tag, body) = wire::read_message(&mut self.stream)?;
+            if self.member.hangs.load(Ordering::SeqCst) {
+                continue;
+            }
             match tag {
                 b'X' => return Ok(()),
                 b'Q' => self.simple_query(&body)?,
