An evicted commit bounds its group's own reads, so that none is served from older data

Cause: SessionCommits dropped the session whose first commit was the oldest, and its reads then asked for no position.

Change: one table for the extended front and the router. When it is full, the lowest position of the largest group is evicted and bounds every session of that group that has no commit of its own. The size follows from limits.memory_mb. The router no longer prunes what all present members have: a member that starts from an older copy may lack it. A session without a commit in this process needs a position of after the process's start.

Replaced test: commits_that_all_members_have_are_dropped_above_the_capacity demanded that a commit be forgotten (position 0), which is the fault. an_evicted_commit_still_bounds_the_reads_of_its_session demands the same bound on memory, and that nothing is forgotten. all_members_have is gone with its only caller; the test of groups checks the position itself.

--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -111,6 +111,7 @@
             group: fields.group.ok_or(InvalidQuery::MissingGroup)?,
             session: fields.key.map(statement::session_id).ok_or(InvalidQuery::MissingKey)?,
             required_position: fields.min_position_ms.map(from_unix_ms),
+            commits_known_since: None,
             is_retry: fields.is_retry,
             external_id: external_id.ok_or(InvalidQuery::MissingExternalId)?.to_vec(),
             timeout: from_unix_ms(millis),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,15 @@
 use std::collections::BTreeMap;
 use timers::{TimerEvent, Timers};
 
+/// The limits of a reducer, which follow from those of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct CoreLimits {
+    /// The most connections to members.
+    pub member_connections: usize,
+    /// The most bytes of the last commits of sessions.
+    pub session_commit_bytes: usize,
+}
+
 /// The reducer: holds all state that the proxy's decisions depend on, and changes it in [`Core::step`].
 pub struct Core<W, A> {
     settings: Settings,
@@ -53,19 +62,19 @@
 }
 
 impl<W, A> Core<W, A> {
-    /// Creates a reducer with an empty endpoint list, which opens at most `max_connections` connections to
-    /// members. `seed` seeds the router's random decisions.
-    pub fn new(settings: Settings, seed: u64, now: Micros, max_connections: usize) -> Self {
+    /// Creates a reducer with an empty endpoint list. `seed` seeds the router's random decisions.
+    pub fn new(settings: Settings, seed: u64, now: Micros, limits: CoreLimits) -> Self {
         let mut timers = Timers::default();
         timers.set(now + EVICTION_INTERVAL, TimerEvent::EvictIdle);
         Core {
             counters: Counters::new(settings.classes.len()),
-            router: Router::with_unknown_clock(settings.clone(), seed, now),
+            router: Router::with_unknown_clock(settings.clone(), seed, now)
+                .with_commit_memory(limits.session_commit_bytes),
             settings,
             requests: BTreeMap::new(),
             jobs: BTreeMap::new(),
             last_job: 0,
-            pool: Pool::new(max_connections),
+            pool: Pool::new(limits.member_connections),
             timers,
             shutdown_deadline: None,
             revalidate_until: 0,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -63,7 +63,8 @@
         cancel,
         ..Settings::default()
     };
-    let mut core = Core::new(settings, 7, START, MAX_CONNECTIONS);
+    let limits = CoreLimits { member_connections: MAX_CONNECTIONS, session_commit_bytes: 1 << 20 };
+    let mut core = Core::new(settings, 7, START, limits);
     let members = vec![member(1, EndpointState::Ready), member(2, EndpointState::Ready)];
     core.step(START, Input::EndpointUpdate { revision: 1, complete: true, members });
     core
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -121,14 +121,14 @@
 /// running since it sent the command.
 fn new_request(id: RequestId, now: Micros, ready: ReadyRequest) -> NewRequest<MemberRequest> {
     let ReadyRequest { read_at, request: parsed } = ready;
-    let ParsedRequest { required_position, timeout, .. } = parsed;
+    let ParsedRequest { required_position, commits_known_since, timeout, .. } = parsed;
     let request = Request {
         id,
         class: parsed.class,
         group: parsed.group,
         session: parsed.session,
         tenant: 0,
-        time_since_write: None,
+        time_since_write: commits_known_since.map(|since| now.saturating_sub(since)),
         min_position: required_position,
         remaining: timeout.saturating_sub(now.saturating_sub(read_at)),
         is_retry: parsed.is_retry,
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -2,12 +2,12 @@
 
 use super::config::{ExtendedListenerConfig, UnknownClassError};
 use super::error::BatchError;
-use super::session_commits::SessionCommits;
 use crate::client::ParsedRequest;
 use crate::clock::from_unix_ms;
 use crate::exchange::MemberRequest;
 use crate::extended::PreparedStatement;
 use crate::pg::statement::{self, StatementFields};
+use crate::state::SessionCommits;
 use crate::{Idempotency, Micros, Requirement, SessionInGroup, Settings};
 use std::sync::Arc;
 
@@ -44,6 +44,8 @@
     pub session_key: u64,
     /// The last commits of all sessions.
     pub commits: &'a SessionCommits,
+    /// Since when commits are recorded, on the core's clock.
+    pub commits_known_since: Micros,
 }
 
 /// Analyzes statements. The listener's configuration provides the properties that their text lacks.
@@ -133,12 +135,15 @@
         let required_position = statements.iter().filter_map(|statement| statement.required_position).max();
         let timeout = statements.iter().map(|statement| statement.timeout).min();
         let session = SessionInGroup { session: batch.session_key, group: first.group };
+        let commit = batch.commits.last(session);
+        let has_unknown_commits = session.session != 0 && commit.is_none();
         Ok(ParsedRequest {
             class: strictest.unwrap_or(first).class,
             writes: statements.iter().any(|statement| self.is_write_class(statement.class)),
             group: first.group,
             session: batch.session_key,
-            required_position: required_position.max(batch.commits.last(session)),
+            required_position: required_position.max(commit),
+            commits_known_since: has_unknown_commits.then_some(batch.commits_known_since),
             is_retry: statements.iter().any(|statement| statement.is_retry),
             // The `id` in the comment of a prepared statement is the same for every execution, so it does not
             // identify a request.
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -15,7 +15,6 @@
 mod error;
 mod reply_summary;
 mod session;
-mod session_commits;
 mod statement_recorder;
 
 pub use config::{ExtendedListenerConfig, UnknownClassError};
@@ -30,6 +29,7 @@
 use crate::memory_budget::{HeldBytes, MemoryBudget};
 use crate::pg::message_tags::backend;
 use crate::pg::{self, statement};
+use crate::state::SessionCommits;
 use crate::store::Change;
 use crate::{Micros, SessionInGroup, Settings};
 use analysis::{BatchStatements, StatementAnalyzer};
@@ -38,7 +38,6 @@
 use error::BatchError;
 use reply_summary::ReplySummary;
 use session::ParsedStatement;
-use session_commits::SessionCommits;
 use statement_recorder::StatementRecorder;
 use std::sync::Arc;
 
@@ -57,28 +56,39 @@
     end: BatchEnd,
 }
 
+/// The memory that the extended front may use.
+pub struct PostgresLimits {
+    /// The memory of the prepared statements and portals of all clients.
+    pub session_memory: Arc<MemoryBudget>,
+    /// The most bytes of the last commits of sessions.
+    pub commit_bytes: usize,
+}
+
 /// The extended front's protocol.
 pub struct Postgres {
     analyzer: StatementAnalyzer,
     commits: SessionCommits,
+    /// When the front was created, on the core's clock.
+    started_at: Micros,
     recorder: StatementRecorder,
     /// The memory of the statements and portals of all clients.
     session_memory: Arc<MemoryBudget>,
 }
 
 impl Postgres {
-    /// Creates a front with the defaults of `config`, and with this budget for the prepared statements and
-    /// portals of all clients. Fails if a default class does not exist.
+    /// Creates a front with the defaults of `config`. Fails if a default class does not exist.
     pub fn new(
         config: ExtendedListenerConfig,
         settings: Arc<Settings>,
-        session_memory: Arc<MemoryBudget>,
+        limits: PostgresLimits,
+        now: Micros,
     ) -> Result<Self, UnknownClassError> {
         Ok(Postgres {
             analyzer: StatementAnalyzer::new(config, settings)?,
-            commits: SessionCommits::default(),
+            commits: SessionCommits::within(limits.commit_bytes),
+            started_at: now,
             recorder: StatementRecorder::default(),
-            session_memory,
+            session_memory: limits.session_memory,
         })
     }
 
@@ -119,7 +129,12 @@
         }
         let statement = self.analyzer.analyze(text, &[])?;
         let (session_key, may_write) = (statement.session_key, statement.may_write);
-        let statements = BatchStatements { statements: &[statement], session_key, commits: &self.commits };
+        let statements = BatchStatements {
+            statements: &[statement],
+            session_key,
+            commits: &self.commits,
+            commits_known_since: self.started_at,
+        };
         let member_request = MemberRequest::SimpleQuery {
             text: text.to_vec(),
             timeout_digits: statement::parse_fields(text).timeout.map(|timeout| timeout.digits),
@@ -155,6 +170,7 @@
             statements: &plan.statements,
             session_key: plan.session_key,
             commits: &self.commits,
+            commits_known_since: self.started_at,
         };
         let extended = ExtendedBatch { messages: plan.messages, confirm_before_execute: false };
         let combined = self.analyzer.combine(&statements, MemberRequest::Extended(extended));
@@ -292,5 +308,7 @@
     }
 }
 
+#[cfg(test)]
+mod session_commits_tests;
 #[cfg(test)]
 mod tests;
--- a/src/front/postgres/session_commits/tests.rs
+++ b/src/front/postgres/session_commits_tests.rs
@@ -3,7 +3,7 @@
 use crate::client::{BatchEnd, ClientBatch, ClientEvent, ClientId};
 use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
-use crate::front::postgres::{ExtendedListenerConfig, Postgres};
+use crate::front::postgres::{ExtendedListenerConfig, Postgres, PostgresLimits};
 use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
 use crate::memory_budget::MemoryBudget;
 use crate::pg::message_tags::{backend, frontend};
@@ -17,6 +17,10 @@
 const SESSIONS: u64 = 3;
 const GROUPS: u64 = 2;
 const STEPS: u64 = 400;
+/// The memory for the commits of sessions, and more sessions than fit into it.
+const COMMIT_BYTES: usize = 192 * 1024;
+const FEW_COMMIT_BYTES: usize = 300;
+const MANY_SESSIONS: u64 = 20_000;
 /// Positions of writes are below this, and those of reads above it, so that the two can be told apart.
 const FIRST_POSITION_OF_READS: Micros = 1_000_000;
 const OWN: &str = "own";
@@ -43,9 +47,9 @@
 }
 
 impl Harness {
-    fn new(seed: u64) -> Harness {
-        let postgres =
-            Postgres::new(config(), Arc::new(settings()), MemoryBudget::new(1 << 20, 0, 1)).unwrap();
+    fn new(seed: u64, commit_bytes: usize) -> Harness {
+        let limits = PostgresLimits { session_memory: MemoryBudget::new(1 << 20, 0, 1), commit_bytes };
+        let postgres = Postgres::new(config(), Arc::new(settings()), limits, 0).unwrap();
         let mut harness = Harness {
             manager: ConnectionManager::new(postgres, 4000),
             registry: RequestRegistry::default(),
@@ -97,6 +101,10 @@
     fn send(&mut self, client: ClientId) {
         let (session, group) = (1 + self.below(SESSIONS), self.below(GROUPS));
         let class = [OWN, ANY, WRITE][self.below(3) as usize];
+        self.send_for(client, session, group, class);
+    }
+
+    fn send_for(&mut self, client: ClientId, session: u64, group: u64, class: &str) {
         let sql = match class {
             WRITE => "insert into t values ($1)",
             _ => "select 1 from t where ref = $1",
@@ -105,7 +113,9 @@
         let confirmed = self.confirmed.get(&(session, group as u32)).copied();
         self.confirmed_before.insert(timeout_ms * 1000, confirmed);
         let statement = format!("\0{sql} /* c={class},cluster={group},d={timeout_ms} */\0\0\0");
-        let bind = [b"\0\0\0\0\0\x01\0\0\0\x01".as_slice(), session.to_string().as_bytes(), b"\0\0"].concat();
+        let key = session.to_string();
+        let key_length = (key.len() as u32).to_be_bytes();
+        let bind = [b"\0\0\0\0\0\x01".as_slice(), &key_length, key.as_bytes(), b"\0\0"].concat();
         let messages = vec![
             message(frontend::PARSE, statement.as_bytes()),
             message(frontend::BIND, &bind),
@@ -142,6 +152,16 @@
         self.apply(effects);
     }
 
+    /// Answers the first running request with this position.
+    fn answer_first(&mut self, position: Micros) {
+        let (id, Running { client, .. }) = self.running.pop_first().unwrap();
+        assert_eq!(self.registry.close(id), Some(client));
+        let bytes = message(backend::DATA_ROW, b"");
+        let answer = FinalAnswer::Served(MemberResponse { bytes, position: Some(position), held: None });
+        let effects = self.manager.answer(&mut self.registry, 0, client, id, answer);
+        self.apply(effects);
+    }
+
     fn step(&mut self) {
         let client = 1 + self.below(CONNECTIONS);
         match self.below(20) {
@@ -191,12 +211,30 @@
     Settings { classes: classes.into(), class_names: class_names.into(), ..Settings::default() }
 }
 
+/// Guards against a session that writes all the time and is forgotten because many others have written once.
+#[test]
+fn reads_of_a_session_see_its_last_commit_however_many_sessions_have_written_since() {
+    let mut harness = Harness::new(1, COMMIT_BYTES);
+    let commit_of = |harness: &mut Harness, session, position| {
+        harness.send_for(1, session, 0, WRITE);
+        harness.answer_first(position);
+    };
+    commit_of(&mut harness, 1, 1);
+    (0..MANY_SESSIONS - 10).for_each(|other| commit_of(&mut harness, 100 + other, 2 + other));
+    commit_of(&mut harness, 1, MANY_SESSIONS);
+    (0..MANY_SESSIONS).for_each(|other| commit_of(&mut harness, 100_000 + other, MANY_SESSIONS + 1 + other));
+    harness.send_for(2, 1, 0, OWN);
+    let read = harness.running.values().next().map(|running| running.request.min_position);
+    assert!(read >= Some(Some(MANY_SESSIONS)), "{read:?}");
+}
+
 /// Guards against a session that forgets a commit: answers of reads, answers out of order, errors, replies
 /// that are replaced by errors, other groups, and connections that end must not hide it.
 #[test]
 fn a_sessions_knowledge_of_its_commits_never_goes_backward() {
     for seed in 1..=50 {
-        let mut harness = Harness::new(seed);
+        // Room for all commits, or for fewer than there are sessions and groups.
+        let mut harness = Harness::new(seed, [COMMIT_BYTES, FEW_COMMIT_BYTES][(seed % 2) as usize]);
         (0..STEPS).for_each(|_| harness.step());
         assert!(harness.own_reads > 10, "seed {seed}: only {} reads of own writes", harness.own_reads);
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -92,8 +92,7 @@
         (self.settings.resolution * TICK_BATCHES).max(TICK_INTERVAL_MIN)
     }
 
-    /// Runs the periodic work: counts the serving capacity, resumes held requests, sends probes, and prunes
-    /// the commits of sessions that all members of their group have applied.
+    /// Runs the periodic work: counts the serving capacity, resumes held requests, and sends probes.
     fn on_tick(&mut self) {
         self.set_timer(TICK_TIMER, self.tick_interval());
         self.next_tick_at = self.now + self.tick_interval();
@@ -102,6 +101,5 @@
         }
         self.resume_held(None, false);
         self.start_probes();
-        self.commits.prune(|group, position| self.topology.all_members_have(group, position, self.now));
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -58,7 +58,8 @@
         }
         let id = request.id;
         let group_time = self.topology.group_time(request.group, self.now);
-        let required_position = self.commits.required_position(&request, &self.settings, group_time);
+        let required_position =
+            self.commits.required_position(&request, &self.settings, group_time, self.now - self.created_at);
         let pending = PendingRequest::new(request, class, self.now);
         self.requests.insert(id, PendingRequest { priority, required_position, shed_draw, ..pending });
         self.advance(id);
--- a/src/router.rs
+++ b/src/router.rs
@@ -77,6 +77,11 @@
         Router { topology: Topology::with_unknown_clock(), ..Router::new(settings, seed, now) }
     }
 
+    /// Limits the memory of the last commits of sessions, of which the router must not have any yet.
+    pub fn with_commit_memory(self, bytes: usize) -> Self {
+        Router { commits: SessionCommits::within(bytes), ..self }
+    }
+
     /// Handles one event that happened at `now`, and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/src/server/memory_division.rs
+++ b/src/server/memory_division.rs
@@ -16,6 +16,9 @@
 /// The memory limit is divided by these for responses to batches that have not been answered.
 const RESPONSES: Share = Share { shared_divisor: 8, guaranteed_divisor: 16 };
 
+/// Each table of the last commits of sessions takes at most the memory limit divided by this.
+const SESSION_COMMITS_DIVISOR: usize = 64;
+
 /// The part of the memory limit for one use.
 struct Share {
     /// Up to the memory limit divided by this, a holder may exceed its part.
@@ -40,6 +43,8 @@
     pub(super) commands: Arc<MemoryBudget>,
     /// The memory of the prepared statements and portals of clients.
     pub(super) sessions: Arc<MemoryBudget>,
+    /// The most bytes of each table of the last commits of sessions.
+    pub(super) session_commit_bytes: usize,
     /// The memory of member connections.
     pub(super) members: MemberMemory,
 }
@@ -52,6 +57,7 @@
             buffer_bytes: memory_bytes / BUFFER_DIVISOR,
             commands: COMMANDS.budget(memory_bytes, connections.client_connections),
             sessions: SESSIONS.budget(memory_bytes, connections.clients),
+            session_commit_bytes: memory_bytes / SESSION_COMMITS_DIVISOR,
             members: MemberMemory::new(
                 MEMBER_STATEMENTS.budget(memory_bytes, members),
                 RESPONSES.budget(memory_bytes, members),
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -11,8 +11,8 @@
 use crate::Settings;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::Core;
-use crate::front::postgres::{ExtendedListenerConfig, Postgres};
+use crate::core::{Core, CoreLimits};
+use crate::front::postgres::{ExtendedListenerConfig, Postgres, PostgresLimits};
 use crate::net::admin::{self, CallSink, LoopUnavailable};
 use crate::net::client::{self, ClientListener, ClientReactor, ReactorEvent, ReactorLimits};
 use crate::net::discovery::DiscoveryKind;
@@ -142,10 +142,16 @@
             DescriptorBudget::new(config.max_descriptors, config.admin_listen.is_some(), inherited_listener);
         let memory = MemoryDivision::new(config.memory_bytes, &budget);
         let settings = Arc::new(config.settings.clone());
-        let new_front = |listen| Postgres::new(listen, settings.clone(), memory.sessions.clone());
+        let commit_bytes = memory.session_commit_bytes;
+        let new_front = |listen| {
+            let limits = PostgresLimits { session_memory: memory.sessions.clone(), commit_bytes };
+            Postgres::new(listen, settings.clone(), limits, clock.now())
+        };
         let postgres = extended.map(new_front).transpose();
         let postgres = postgres.map_err(std::io::Error::other)?;
-        let reducer = Core::new(config.settings.clone(), config.seed, clock.now(), budget.member_connections);
+        let core_limits =
+            CoreLimits { member_connections: budget.member_connections, session_commit_bytes: commit_bytes };
+        let reducer = Core::new(config.settings.clone(), config.seed, clock.now(), core_limits);
         let (alive, clients_closed) = bounded(0);
         let limits = reactor_limits(budget.client_connections, &memory);
         let (reactor, client_reactor) = ClientReactor::new(
--- a/src/state/session_commits.rs
+++ b/src/state/session_commits.rs
@@ -1,43 +1,97 @@
-//! The last commits of sessions, for settings under which the router, and not the client, remembers them.
+//! The last commits of sessions, which the reads of these sessions must see, in bounded memory.
 
 use crate::{GroupId, Micros, Request, Requirement, SessionInGroup, Settings};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The number of commits above which those that every member of their group has applied are dropped.
-const CAPACITY: usize = 20_000;
+/// An upper bound of the memory of one commit: an entry of a map and one of a set, in nodes that are half full.
+const COMMIT_BYTES: usize = 96;
+/// The number of commits that are kept exactly where no memory limit is known.
+const DEFAULT_CAPACITY: usize = 20_000;
 
 /// The last commit of each session in each group.
-#[derive(Default)]
+///
+/// At most [`SessionCommits::capacity`] commits are kept exactly. When there are more, the lowest position of the
+/// group with the most commits is evicted, and becomes a lower bound for every session of that group without a
+/// commit of its own. So an evicted commit is never forgotten: the reads of its session must see it, or a later
+/// position, however long a replica lags and from however old a copy a member starts.
 pub(crate) struct SessionCommits {
-    positions: BTreeMap<SessionInGroup, Micros>,
+    capacity: usize,
+    count: usize,
+    groups: BTreeMap<GroupId, GroupCommits>,
+}
+
+/// The commits of one group.
+#[derive(Default)]
+struct GroupCommits {
+    positions: BTreeMap<u64, Micros>,
+    /// The entries of `positions`, by position.
+    sessions_by_position: BTreeSet<(Micros, u64)>,
+    /// The highest position that has been evicted.
+    evicted_position: Option<Micros>,
+}
+
+impl Default for SessionCommits {
+    fn default() -> Self {
+        SessionCommits::with_capacity(DEFAULT_CAPACITY)
+    }
 }
 
 impl SessionCommits {
+    /// Creates an empty table that keeps as many commits as fit into `memory_bytes`, but at least one.
+    pub(crate) fn within(memory_bytes: usize) -> Self {
+        SessionCommits::with_capacity(memory_bytes / COMMIT_BYTES)
+    }
+
+    /// Creates an empty table that keeps `capacity` commits exactly, but at least one.
+    fn with_capacity(capacity: usize) -> Self {
+        SessionCommits { capacity: capacity.max(1), count: 0, groups: BTreeMap::new() }
+    }
+
+    /// The number of commits that are kept exactly.
+    #[cfg(test)]
+    pub(crate) fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// The number of commits that are kept exactly at present.
+    #[cfg(test)]
+    pub(crate) fn count(&self) -> usize {
+        self.count
+    }
+
     /// Records a commit of a session. Answers may arrive in another order than that of the commits, and the
     /// answer to a repeated write holds the commit of its first run, so a later position is kept.
     pub(crate) fn record(&mut self, session: SessionInGroup, position: Micros) {
-        let last = self.positions.entry(session).or_default();
-        *last = position.max(*last);
+        let group = self.groups.entry(session.group).or_default();
+        self.count += usize::from(group.record(session.session, position));
+        if self.count > self.capacity {
+            self.evict_lowest();
+        }
     }
 
-    /// The position of a session's last commit; 0 if none is recorded.
-    pub(crate) fn position(&self, session: SessionInGroup) -> Micros {
-        self.positions.get(&session).copied().unwrap_or(0)
+    /// The position that the reads of a session must see: that of its last commit, or a later one if the commit
+    /// may have been evicted. `None` if the session is unknown (0) or has no commit.
+    pub(crate) fn last(&self, session: SessionInGroup) -> Option<Micros> {
+        let group = self.groups.get(&session.group).filter(|_| session.session != 0)?;
+        group.positions.get(&session.session).copied().max(group.evicted_position)
     }
 
     /// The position that an endpoint must have reached to serve a request that arrives when its group's clock
     /// reads `group_time`; 0 for none. A bound on staleness is not included, because it depends on the time
-    /// at which the request is sent.
+    /// at which the request is sent. `uptime` is the age of this table: a session without a commit may have
+    /// committed through an earlier process.
     pub(crate) fn required_position(
         &self,
         request: &Request,
         settings: &Settings,
         group_time: Micros,
+        uptime: Micros,
     ) -> Micros {
         match settings.classes[request.class].requirement {
             Requirement::Latest => group_time,
             Requirement::ReadYourWrites if settings.remember_commits => {
-                self.position(request.session_in_group())
+                let earlier_process = (request.session != 0).then(|| group_time.saturating_sub(uptime));
+                self.last(request.session_in_group()).or(earlier_process).unwrap_or(0)
             }
             Requirement::ReadYourWrites => {
                 let last_write = request.time_since_write.map(|elapsed| group_time.saturating_sub(elapsed));
@@ -47,11 +101,34 @@
         }
     }
 
-    /// Drops the commits that every member of their group has applied, once more than `CAPACITY` commits are
-    /// recorded.
-    pub(crate) fn prune(&mut self, is_applied_everywhere: impl Fn(GroupId, Micros) -> bool) {
-        if self.positions.len() > CAPACITY {
-            self.positions.retain(|session, position| !is_applied_everywhere(session.group, *position));
+    /// Evicts a commit of the group that has the most, so that no group displaces those of the others.
+    fn evict_lowest(&mut self) {
+        let largest = self.groups.values_mut().max_by_key(|group| group.positions.len());
+        if let Some(group) = largest {
+            group.evict_lowest();
+            self.count -= 1;
         }
     }
 }
+
+impl GroupCommits {
+    /// Records a commit. Returns whether the session had none before.
+    fn record(&mut self, session: u64, position: Micros) -> bool {
+        let former = self.positions.get(&session).copied();
+        if former.max(self.evicted_position).is_some_and(|known| known >= position) {
+            return false;
+        }
+        if let Some(former) = former {
+            self.sessions_by_position.remove(&(former, session));
+        }
+        self.positions.insert(session, position);
+        self.sessions_by_position.insert((position, session));
+        former.is_none()
+    }
+
+    fn evict_lowest(&mut self) {
+        let Some((position, session)) = self.sessions_by_position.pop_first() else { return };
+        self.positions.remove(&session);
+        self.evicted_position = self.evicted_position.max(Some(position));
+    }
+}
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -71,17 +71,37 @@
     assert_eq!((values[Role::Replica], values[Role::Primary]), (1, 2));
 }
 
+/// Guards against a session whose commit is forgotten where many sessions write: whatever the order of the
+/// commits, each session must see at least its own, and memory holds no more of them than the capacity.
 #[test]
-fn commits_that_all_members_have_are_dropped_above_the_capacity() {
-    let in_group = |session| SessionInGroup { session, group: 1 };
-    let mut commits = SessionCommits::default();
-    (1..=20_000).for_each(|session| commits.record(in_group(session), session * SECOND));
-    commits.prune(|_, position| position <= 19_999 * SECOND);
-    assert_eq!(commits.position(in_group(7)), 7 * SECOND, "up to the capacity no commit is dropped");
-    commits.record(in_group(20_001), 20_001 * SECOND);
-    commits.prune(|_, position| position <= 19_999 * SECOND);
-    assert_eq!(commits.position(in_group(7)), 0);
-    assert_eq!(commits.position(in_group(20_000)), 20_000 * SECOND);
+fn an_evicted_commit_still_bounds_the_reads_of_its_session() {
+    let of = |session, group| SessionInGroup { session, group };
+    let mut commits = SessionCommits::within(10_000);
+    let capacity = commits.capacity() as u64;
+    let sessions = 3 * capacity;
+    let position = |session: u64| (1 + session * 7919 % sessions) * SECOND;
+    for session in 1..=sessions {
+        commits.record(of(session, 1 + session as u32 % 2), position(session));
+        assert!(commits.count() as u64 <= capacity);
+    }
+    for session in 1..=sessions {
+        let last = commits.last(of(session, 1 + session as u32 % 2));
+        assert!(last >= Some(position(session)), "session {session}: {last:?}");
+    }
+    let latest = (1..=sessions).max_by_key(|session| position(*session)).unwrap();
+    assert_eq!(commits.last(of(latest, 1 + latest as u32 % 2)), Some(position(latest)), "kept exactly");
+    assert_eq!(commits.last(of(0, 1)), None, "an unknown session has no commit");
+}
+
+/// Guards against a group with many writing sessions that displaces the commits of another one, whose clock is
+/// behind.
+#[test]
+fn commits_of_a_quiet_group_are_kept_while_another_group_fills_the_table() {
+    let mut commits = SessionCommits::within(10_000);
+    let of = |session, group| SessionInGroup { session, group };
+    commits.record(of(7, 1), SECOND);
+    (1..=10_000).for_each(|session| commits.record(of(session, 2), (1000 + session) * SECOND));
+    assert_eq!([7, 8].map(|session| commits.last(of(session, 1))), [Some(SECOND), None]);
 }
 
 /// Guards against the loss of a session's commit to one in another group, whose clock may be behind.
@@ -92,7 +112,8 @@
     commits.record(in_group(1), 9 * SECOND);
     commits.record(in_group(2), 5 * SECOND);
     commits.record(in_group(2), 4 * SECOND);
-    assert_eq!([1, 2, 3].map(|group| commits.position(in_group(group))), [9 * SECOND, 5 * SECOND, 0]);
+    let expected = [Some(9 * SECOND), Some(5 * SECOND), None];
+    assert_eq!([1, 2, 3].map(|group| commits.last(in_group(group))), expected);
 }
 
 /// If the list moves an endpoint to another group, the endpoint must not remain a member, or the primary, of
@@ -118,7 +139,8 @@
     assert_eq!((topology.presumed_primary(7), topology.members(7)), (None, &[][..]));
     assert_eq!((topology.primary(8), topology.members(8)), (None, &[index][..]));
     assert_eq!(topology.role(index), Role::Replica);
-    assert!(!topology.all_members_have(8, SECOND, SECOND), "a position counts only within its group");
+    let position = topology[index].replication.known_position(GroupClock::Host, SECOND);
+    assert_eq!(position, 0, "a position counts only within its group");
     topology.record_role(index, Role::Primary, 2 * SECOND, true);
     assert_eq!((topology.primary(7), topology.primary(8)), (None, Some(index)));
 }
--- a/src/state/topology.rs
+++ b/src/state/topology.rs
@@ -367,13 +367,6 @@
         self.queueing_delay[role].record(delay);
         self.endpoints[index].queueing_delay.record(delay);
     }
-
-    /// Whether all members of a group are known to have reached this position.
-    pub(crate) fn all_members_have(&self, group: GroupId, position: Micros, now: Micros) -> bool {
-        let known_position = |member| self[member].replication.known_position(self.clock(group), now);
-        let has_position = |member: &EndpointIndex| known_position(*member) >= position;
-        self.groups[&group].members.iter().all(has_position)
-    }
 }
 
 impl Index<EndpointIndex> for Topology {
--- a/tests/policy/freshness.rs
+++ b/tests/policy/freshness.rs
@@ -125,6 +125,32 @@
     assert_eq!(sent_to(&harness.handle(of_session(2, READ_YOUR_WRITES))), Some(1));
 }
 
+/// Guards against a commit that is forgotten because all members have it: a member that is started from an older
+/// copy lacks it.
+#[test]
+fn a_member_that_joins_from_an_old_copy_serves_no_session_whose_commit_it_lacks() {
+    let mut harness = harness_that_remembers_commits();
+    harness.handle(of_session(1, WRITE));
+    let commit = harness.now;
+    answer_write(&mut harness, 1, commit, true);
+    for session in 100..25_000 {
+        harness.now += 1000;
+        harness.handle(Event::Request(Request { session, ..request(session as u32, WRITE) }));
+        let now = harness.now;
+        answer_write(&mut harness, session as u32, now, true);
+    }
+    let now = harness.now;
+    harness.report(2, Role::Replica, now);
+    harness.advance(100 * MS);
+    let endpoints = vec![endpoint_entry(3)];
+    harness.handle(Event::EndpointUpdate { complete: false, endpoints });
+    harness.report(3, Role::Replica, commit - 20 * MS);
+    for id in 2..8 {
+        let to = sent_to(&harness.handle(of_session(id, READ_YOUR_WRITES)));
+        assert!(to.is_some_and(|to| to != 3), "{to:?}");
+    }
+}
+
 #[test]
 fn reads_go_only_to_endpoints_known_to_be_fresh_where_endpoints_serve_stale_data() {
     let mut harness =
--- a/tests/proxy/session_commits.rs
+++ b/tests/proxy/session_commits.rs
@@ -7,6 +7,8 @@
 const WRITE: &str = "P w INSERT INTO entries VALUES ($1, 'x') /* d=9000 */ | B - w | E - | S";
 const OWN_READ: &str = "P o SELECT payload FROM drafts WHERE ref = $1 /* d=9000 */ | B - o | E - | S";
 const ANY_READ: &str = "P a SELECT payload FROM tariffs WHERE ref = $1 /* c=any,d=9000 */ | B - a | E - | S";
+const START_WITH_STALE_READS: &str =
+    "sed -i 's/\"hold\"/\"silent\"/' \"$GW_CONFIG\"; exec \"$0\" serve --postgres \"$1\"";
 const SERVED_BATCH: &str = "1 2 D(value) C Z";
 /// How far a replica is behind that must not serve reads of own writes.
 const LAG_MS: u64 = 60_000;
@@ -15,8 +17,7 @@
 fn start_group() -> (MockMember, MockMember, Proxy) {
     let (primary, replica) = (MockMember::start(true), MockMember::start(false));
     replica.set_replication_lag_ms(LAG_MS);
-    let shell = "sed -i 's/\"hold\"/\"silent\"/' \"$GW_CONFIG\"; exec \"$0\" serve --postgres \"$1\"";
-    let proxy = Proxy::start_with_shell(&[&primary, &replica], shell, "");
+    let proxy = Proxy::start_with_shell(&[&primary, &replica], START_WITH_STALE_READS, "");
     assert_eq!(proxy.connect().query(&write_query(0, 900)), SERVED);
     primary.reset_record();
     (primary, replica, proxy)
@@ -47,6 +48,35 @@
     }
 }
 
+/// Guards against the loss of all commits to a restart: a session without a commit in this process may have written
+/// through the process before.
+#[test]
+fn reads_after_a_restart_see_what_their_session_committed_before_it() {
+    let (primary, replica, proxy) = start_group();
+    let position = primary.position_ms();
+    assert_eq!(run(&proxy, WRITE), SERVED_BATCH);
+    drop(proxy);
+    let proxy = Proxy::start_with_shell(&[&primary, &replica], START_WITH_STALE_READS, "");
+    assert_eq!(proxy.connect().query(&write_query(0, 900)), SERVED);
+    replica.fix_position_ms(Some(position));
+    assert_eq!(run(&proxy, &ANY_READ.replace("B - a", "B - a 8f")), SERVED_BATCH);
+    assert_eq!(run(&proxy, OWN_READ), SERVED_BATCH);
+    assert_eq!((own_reads(&primary), own_reads(&replica)), (1, 0), "the replica lacks the commit");
+    replica.fix_position_ms(None);
+    replica.set_replication_lag_ms(0);
+    std::thread::sleep(Duration::from_millis(50));
+    for _ in 0..4 {
+        assert_eq!(run(&proxy, &ANY_READ.replace("B - a", "B - a 8f")), SERVED_BATCH);
+    }
+    let of_another_session = OWN_READ.replace("B - o", "B - o 8f");
+    assert_eq!(run(&proxy, &of_another_session), SERVED_BATCH);
+    assert_eq!(
+        (own_reads(&primary), own_reads(&replica)),
+        (1, 1),
+        "the replica has applied all since the start"
+    );
+}
+
 /// Guards against the loss of a session's commit to an earlier one: the answers to writes on two connections
 /// may arrive in another order than that of the commits.
 #[test]
