Every command that has arrived is answered, whatever ends its connection or the process

Cause: a connection has eight commands in progress, and stopping to read passed over the complete ones that waited unparsed.

Change: when reading stops, the reactor accepts and reads once more what has arrived, 100 ms at most, and every command so found is refused behind the answers to the earlier ones. On related paths: malformed or unsupported messages and Terminate wait for the answers to the commands ahead of them; where a command is not completed in time, those ahead of it are answered at that moment; an idle connection with unread input is not closed. Refusal names why a command is refused as it is read, in place of a flag.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -66,8 +66,22 @@
     pub messages: Vec<Vec<u8>>,
     /// The message that ended the batch.
     pub end: BatchEnd,
-    /// Whether the messages were dropped because the commands in progress use up the memory.
-    pub is_over_budget: bool,
+    /// Why the batch is refused; its messages were dropped then.
+    pub refusal: Option<Refusal>,
+}
+
+/// Why a complete command is refused as it is read. The text of the error is sent to the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// The commands in progress use up the memory.
+    #[error("the commands in progress use up the memory: nothing has run, try again")]
+    OverBudget,
+    /// The connection is closed because the client has not completed a later command in time.
+    #[error("the connection is closed: nothing has run, try again")]
+    ConnectionClosed,
+    /// The process is about to exit.
+    #[error("shutting down: nothing has run, try again")]
+    ShuttingDown,
 }
 
 /// The message that ends a batch.
--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -1,9 +1,8 @@
 //! A simple query in the platform's protocol: one statement, with a comment that holds the routing fields.
 
-use super::ParsedRequest;
+use super::{ParsedRequest, Refusal};
 use crate::clock::from_unix_ms;
 use crate::exchange::MemberRequest;
-use crate::memory_budget::OverBudget;
 use crate::pg::sqlstate;
 use crate::pg::statement::{self, StatementError, StatementFields, Timeout};
 use crate::{Micros, Requirement, Settings};
@@ -17,9 +16,9 @@
 /// Why a query is rejected. The text of the error is sent to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidQuery {
-    /// The commands in progress use up the memory. The text was dropped.
-    #[error("the commands in progress use up the memory: nothing has run, try again")]
-    OverBudget(#[from] OverBudget),
+    /// The query was refused as it was read, and its text was dropped.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
     /// The query is not one complete statement.
     #[error(transparent)]
     Statement(#[from] StatementError),
@@ -53,7 +52,7 @@
     /// The SQLSTATE that is sent to the client.
     pub fn sqlstate(self) -> &'static str {
         match self {
-            InvalidQuery::OverBudget(_) => sqlstate::TOO_MANY_CONNECTIONS,
+            InvalidQuery::Refused(_) => sqlstate::TOO_MANY_CONNECTIONS,
             _ => sqlstate::PROTOCOL_VIOLATION,
         }
     }
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -25,6 +25,22 @@
     pub idle_since: Micros,
     /// The protocol's state for this connection.
     pub session: P::Session,
+    /// How the connection ends once all commands have been answered; `None` while more may be read.
+    pub end: Option<ConnectionEnd>,
+}
+
+/// What the client sent last, on which the connection is closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// A Terminate message.
+    Terminate,
+    /// Something that is answered with a FATAL error.
+    Error {
+        /// The SQLSTATE of the error.
+        sqlstate: &'static str,
+        /// The text of the error.
+        text: String,
+    },
 }
 
 /// The result of [`Connection::start_requests`].
@@ -39,7 +55,14 @@
 impl<P: Protocol> Connection<P> {
     /// Creates the state of a connection that has just been opened.
     pub fn new(secret: u32, now: Micros, session: P::Session) -> Self {
-        Connection { secret, has_requested: false, pipeline: Pipeline::default(), idle_since: now, session }
+        Connection {
+            secret,
+            has_requested: false,
+            pipeline: Pipeline::default(),
+            idle_since: now,
+            session,
+            end: None,
+        }
     }
 
     /// Whether all commands have been answered, so that the connection may be closed.
--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -1,11 +1,11 @@
 //! Manages the client connections of a front: commands, replies, cancel requests, eviction and closing.
 
-use super::connection::Connection;
+use super::connection::{Connection, ConnectionEnd};
 use super::{FrontEffect, Protocol, RequestRegistry, ServiceState};
-use crate::client::{ClientCloseReason, ClientEvent, ClientId};
+use crate::client::{ClientCloseReason, ClientEvent, ClientId, Refusal};
 use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
-use crate::pg::{self, StartupPacket};
+use crate::pg::{self, ProtocolError, StartupPacket};
 use crate::{Micros, RequestId};
 use std::collections::BTreeMap;
 
@@ -84,6 +84,7 @@
         let mut effects = Vec::new();
         for id in self.connection_ids() {
             self.advance(registry, now, id, &mut effects);
+            self.close_if_ended(registry, id, &mut effects);
         }
         effects
     }
@@ -195,14 +196,22 @@
                 self.close_if_idle(id, effects);
             }
             ClientEvent::Unsupported => {
-                let text = "only simple queries are served here";
-                self.close_with_error(registry, id, pg::sqlstate::FEATURE_NOT_SUPPORTED, text, effects);
+                let sqlstate = pg::sqlstate::FEATURE_NOT_SUPPORTED;
+                let text = "only simple queries are served here".to_string();
+                self.end_connection(registry, id, ConnectionEnd::Error { sqlstate, text }, effects);
             }
             ClientEvent::Malformed(error) => {
+                if error == ProtocolError::CommandTimeout {
+                    self.end_commands(registry, now, id, effects);
+                }
+                let sqlstate = pg::sqlstate::PROTOCOL_VIOLATION;
                 let text = error.to_string();
-                self.close_with_error(registry, id, pg::sqlstate::PROTOCOL_VIOLATION, &text, effects);
+                self.end_connection(registry, id, ConnectionEnd::Error { sqlstate, text }, effects);
+            }
+            ClientEvent::Terminate => {
+                self.end_connection(registry, id, ConnectionEnd::Terminate, effects);
             }
-            ClientEvent::Terminate | ClientEvent::Disconnected => {
+            ClientEvent::Disconnected => {
                 self.close_connection(registry, id, ClientCloseReason::ClosedByClient, effects);
             }
         }
@@ -246,6 +255,7 @@
         connection.pipeline.finish(index, |context| protocol.finish(session, context, answer));
         self.reordered_bytes += connection.pipeline.buffered_bytes() - buffered_before;
         self.advance(registry, now, id, &mut effects);
+        self.close_if_ended(registry, id, &mut effects);
         self.close_if_idle(id, &mut effects);
         effects
     }
@@ -303,6 +313,64 @@
         effects.push(FrontEffect::Close(id, reason));
     }
 
+    /// Answers all commands of a connection that waits for the rest of a command for too long. Each of them has
+    /// had at least as much time.
+    fn end_commands(
+        &mut self,
+        registry: &mut RequestRegistry,
+        now: Micros,
+        id: ClientId,
+        effects: &mut Vec<FrontEffect>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        for request in connection.pipeline.running() {
+            registry.close(request);
+            effects.push(FrontEffect::AbandonRequest(request));
+        }
+        let (protocol, session) = (&mut self.protocol, &mut connection.session);
+        let buffered_before = connection.pipeline.buffered_bytes();
+        let reply = |context, answer| protocol.finish(session, context, answer);
+        connection.pipeline.end_all(Refusal::ConnectionClosed, reply);
+        self.reordered_bytes += connection.pipeline.buffered_bytes() - buffered_before;
+        self.advance(registry, now, id, effects);
+    }
+
+    /// Closes a connection once its earlier commands have been answered, as PostgreSQL does, which reads the
+    /// message that ends the connection only then.
+    fn end_connection(
+        &mut self,
+        registry: &mut RequestRegistry,
+        id: ClientId,
+        end: ConnectionEnd,
+        effects: &mut Vec<FrontEffect>,
+    ) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.end.get_or_insert(end);
+        }
+        self.close_if_ended(registry, id, effects);
+    }
+
+    /// Closes a connection that has ended and has no unanswered command.
+    fn close_if_ended(
+        &mut self,
+        registry: &mut RequestRegistry,
+        id: ClientId,
+        effects: &mut Vec<FrontEffect>,
+    ) {
+        let Some(connection) = self.connections.get(&id).filter(|connection| connection.is_idle()) else {
+            return;
+        };
+        match connection.end.clone() {
+            None => {}
+            Some(ConnectionEnd::Terminate) => {
+                self.close_connection(registry, id, ClientCloseReason::ClosedByClient, effects);
+            }
+            Some(ConnectionEnd::Error { sqlstate, text }) => {
+                self.close_with_error(registry, id, sqlstate, &text, effects);
+            }
+        }
+    }
+
     /// Sends a FATAL error and closes the connection.
     fn close_with_error(
         &mut self,
--- a/src/front/pipeline.rs
+++ b/src/front/pipeline.rs
@@ -4,7 +4,8 @@
 //! the commands. `docs/design-pipelining.md` describes which pairs of commands may overlap, and why.
 
 use super::Protocol;
-use crate::client::ParsedRequest;
+use crate::client::{ParsedRequest, Refusal};
+use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
 use crate::{Micros, RequestId};
 use std::collections::VecDeque;
@@ -252,6 +253,31 @@
         }
     }
 
+    /// Refuses the commands that the protocol has not processed, and answers all requests: those that are
+    /// running may have been executed.
+    pub fn end_all(
+        &mut self,
+        refusal: Refusal,
+        mut reply: impl FnMut(P::Context, FinalAnswer<MemberResponse>) -> Vec<u8>,
+    ) {
+        for entry in &mut self.entries {
+            let stage = std::mem::replace(&mut entry.stage, Stage::Finished(Vec::new()));
+            entry.stage = match stage {
+                Stage::Queued(mut command) => {
+                    P::refuse(&mut command, refusal);
+                    Stage::Queued(command)
+                }
+                Stage::Deferred(_, context) => {
+                    Stage::Finished(reply(context, FinalAnswer::Rejected { retry_after: 0 }))
+                }
+                Stage::Running(_, context) => {
+                    Stage::Finished(reply(context, FinalAnswer::Failed { maybe_executed: true }))
+                }
+                Stage::Finished(reply) => Stage::Finished(reply),
+            };
+        }
+    }
+
     /// Removes the first command if it has been answered, and returns its reply.
     pub fn pop_reply(&mut self, now: Micros) -> Option<Vec<u8>> {
         let entry = self.entries.pop_front_if(|entry| entry.is_finished())?;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,7 +3,7 @@
 use super::final_answer::append_final_answer;
 use super::{CommandStep, Protocol, ServiceState};
 use crate::Micros;
-use crate::client::{ParsedQuery, ParsedRequest, SimpleQuery};
+use crate::client::{ParsedQuery, ParsedRequest, Refusal, SimpleQuery};
 use crate::core::FinalAnswer;
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::pg;
@@ -24,6 +24,10 @@
         query.received_at
     }
 
+    fn refuse(query: &mut SimpleQuery, refusal: Refusal) {
+        query.fields = Err(refusal.into());
+    }
+
     fn start(&mut self, (): &mut (), query: SimpleQuery, service: ServiceState) -> CommandStep<Self> {
         match query.fields {
             // The layer in front of the proxies sends empty queries as health checks, to decide whether this
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -136,7 +136,8 @@
         let timeout = statements.iter().map(|statement| statement.timeout).min();
         let session = SessionInGroup { session: batch.session_key, group: first.group };
         let commit = batch.commits.last(session);
-        let has_unknown_commits = session.session != 0 && commit.is_none();
+        let has_unknown_commits =
+            session.session != 0 && commit.is_none() && self.settings.endpoints_serve_stale();
         Ok(ParsedRequest {
             class: strictest.unwrap_or(first).class,
             writes: statements.iter().any(|statement| self.is_write_class(statement.class)),
--- a/src/front/postgres/error.rs
+++ b/src/front/postgres/error.rs
@@ -1,5 +1,6 @@
 //! The errors with which the proxy itself rejects a batch.
 
+use crate::client::Refusal;
 use crate::memory_budget::OverBudget;
 use crate::pg::sqlstate;
 
@@ -45,9 +46,9 @@
     /// The client's prepared statements and portals exceed its part of the memory.
     #[error("the prepared statements and portals of this connection exceed its part of the memory")]
     OverMemory(#[from] OverBudget),
-    /// The commands in progress use up the memory.
-    #[error("the commands in progress use up the memory: nothing has run, try again")]
-    TooMuchInProgress,
+    /// The batch was refused as it was read.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
     /// There is no prepared statement of this name.
     #[error("no prepared statement \"{name}\"")]
     UnknownStatement {
@@ -78,7 +79,7 @@
             BatchError::DuplicateStatement => sqlstate::DUPLICATE_PREPARED_STATEMENT,
             BatchError::TooManyStatements | BatchError::StatementTooLong => sqlstate::PROGRAM_LIMIT_EXCEEDED,
             BatchError::OverMemory(_) => sqlstate::OUT_OF_MEMORY,
-            BatchError::TooMuchInProgress => sqlstate::TOO_MANY_CONNECTIONS,
+            BatchError::Refused(_) => sqlstate::TOO_MANY_CONNECTIONS,
             BatchError::UnknownStatement { .. } => sqlstate::INVALID_SQL_STATEMENT_NAME,
             BatchError::UnknownPortal { .. } => sqlstate::INVALID_CURSOR_NAME,
             BatchError::OutOfService => sqlstate::CANNOT_CONNECT_NOW,
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -22,7 +22,7 @@
 
 use super::final_answer::append_final_answer;
 use super::{CommandStep, Protocol, ServiceState};
-use crate::client::{BatchEnd, ClientBatch};
+use crate::client::{BatchEnd, ClientBatch, Refusal};
 use crate::core::FinalAnswer;
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::extended::ExtendedBatch;
@@ -98,8 +98,8 @@
         batch: &ClientBatch,
         service: ServiceState,
     ) -> Result<CommandStep<Self>, BatchError> {
-        if batch.is_over_budget {
-            return Err(BatchError::TooMuchInProgress);
+        if let Some(refusal) = batch.refusal {
+            return Err(refusal.into());
         }
         match batch.messages.first() {
             Some(message) if batch.end == BatchEnd::Query => {
@@ -249,6 +249,10 @@
         unfinished.iter().any(|context| context.end == BatchEnd::Flush || prepares_a_dependency(context))
     }
 
+    fn refuse(batch: &mut ClientBatch, refusal: Refusal) {
+        batch.refusal = Some(refusal);
+    }
+
     fn start(
         &mut self,
         session: &mut Session,
--- a/src/front/postgres/session_commits_tests.rs
+++ b/src/front/postgres/session_commits_tests.rs
@@ -121,7 +121,7 @@
             message(frontend::BIND, &bind),
             message(frontend::EXECUTE, b"\0\0\0\0\0"),
         ];
-        let batch = ClientBatch { received_at: 0, messages, end: BatchEnd::Sync, is_over_budget: false };
+        let batch = ClientBatch { received_at: 0, messages, end: BatchEnd::Sync, refusal: None };
         self.handle(client, ClientEvent::Command(batch));
     }
 
--- a/src/front/postgres/tests.rs
+++ b/src/front/postgres/tests.rs
@@ -9,7 +9,7 @@
 }
 
 fn batch(messages: Vec<Vec<u8>>) -> ClientBatch {
-    ClientBatch { received_at: 0, messages, end: BatchEnd::Sync, is_over_budget: false }
+    ClientBatch { received_at: 0, messages, end: BatchEnd::Sync, refusal: None }
 }
 
 #[test]
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -1,7 +1,7 @@
 //! The [`Protocol`] trait: the part of a front that depends on the protocol of its clients.
 
 use crate::Micros;
-use crate::client::ParsedRequest;
+use crate::client::{ParsedRequest, Refusal};
 use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
 use crate::store::Change;
@@ -49,6 +49,9 @@
         false
     }
 
+    /// Marks a command that has not been started as refused; [`Protocol::start`] then answers it.
+    fn refuse(command: &mut Self::Command, refusal: Refusal);
+
     /// Starts the next command of a connection.
     fn start(
         &mut self,
--- a/src/net/client/accept_gate.rs
+++ b/src/net/client/accept_gate.rs
@@ -74,6 +74,10 @@
         (token - FIRST_LISTENER_TOKEN) as usize
     }
 
+    pub(super) fn listener_count(&self) -> usize {
+        self.listeners.len()
+    }
+
     pub(super) fn is_paused(&self) -> bool {
         !matches!(self.state, AcceptState::Accepting)
     }
--- a/src/net/client/commands.rs
+++ b/src/net/client/commands.rs
@@ -51,7 +51,7 @@
                 let text = query_text(message)?;
                 let (text, fields) = match self.shared.command_received(text.len()) {
                     Ok(()) => (text.to_vec(), ParsedQuery::parse(text, settings)),
-                    Err(over_budget) => (Vec::new(), Err(over_budget.into())),
+                    Err(refusal) => (Vec::new(), Err(refusal.into())),
                 };
                 ClientEvent::Command(SimpleQuery { received_at: self.last_read_at, text, fields })
             }
@@ -121,11 +121,11 @@
         let ParseState::Extended(batch) = &mut self.parse_state else { return };
         let size = batch.memory_bytes();
         let mut messages = std::mem::take(batch).messages;
-        let is_over_budget = self.shared.command_received(size).is_err();
-        if is_over_budget {
+        let refusal = self.shared.command_received(size).err();
+        if refusal.is_some() {
             messages = Vec::new();
         }
-        let batch = ClientBatch { received_at: self.last_read_at, messages, end, is_over_budget };
+        let batch = ClientBatch { received_at: self.last_read_at, messages, end, refusal };
         self.mark_command_received();
         events(ReactorEvent::Extended(self.shared.id, ClientEvent::Command(batch)));
     }
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -293,8 +293,8 @@
     pub(super) fn flush(&mut self, flags: EventFlags) -> Flushed {
         let mut state = self.shared.state();
         let open = self.shared.flush(&mut state);
-        let is_stopping = self.shared.reactor.stop_reading_requested.load(Ordering::SeqCst);
-        if state.reading_paused && !is_stopping && self.shared.may_add_answer(&state) {
+        let may_resume = !state.input_ended && !self.shared.reactor.is_reading_stopped();
+        if state.reading_paused && may_resume && self.shared.may_add_answer(&state) {
             state.reading_paused = false;
             self.shared.update_interest(&mut state, false);
         } else if flags.contains(EventFlags::OUT) {
--- a/src/net/client/handle.rs
+++ b/src/net/client/handle.rs
@@ -2,7 +2,7 @@
 
 use super::presence::ClientPresence;
 use super::shared::{CLOSED, ConnectionShared, ReactorShared};
-use super::write_buffer::Added;
+use super::write_buffer::{Added, MAX_WAITING_ANSWERS, WriteLimits};
 use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,8 +23,10 @@
         let shared = &self.shared;
         let reactor = &shared.reactor;
         let mut state = shared.state();
-        let added =
-            state.write_buffer.push(bytes, &reactor.unwritten_bytes, reactor.limits.max_unwritten_bytes);
+        // Before the process exits, the reactor reads more commands than may be answered otherwise.
+        let max_answers = if reactor.is_reading_stopped() { usize::MAX } else { MAX_WAITING_ANSWERS };
+        let limits = WriteLimits { max_answers, max_total_bytes: reactor.limits.max_unwritten_bytes };
+        let added = state.write_buffer.push(bytes, &reactor.unwritten_bytes, limits);
         match added {
             Added::Rejected => return false,
             Added::Queued => return true,
@@ -47,10 +49,13 @@
         self.shared.command_answered();
     }
 
-    /// Marks the connection as closed if no command is unanswered and no part of a command has been read;
+    /// Marks the connection as closed if no command is unanswered and no part of a command has arrived;
     /// otherwise returns `false`. The connection closes when the handle is dropped.
     pub fn close_if_idle(&self) -> bool {
         let unfinished = &self.shared.unfinished_commands;
+        if self.shared.has_unread_input() {
+            return false;
+        }
         unfinished.compare_exchange(0, CLOSED, Ordering::SeqCst, Ordering::SeqCst).is_ok()
     }
 
--- a/src/net/client/reactor.rs
+++ b/src/net/client/reactor.rs
@@ -219,8 +219,14 @@
         }
     }
 
-    /// Stops reading, and notifies the event loop that no further commands will be reported.
+    /// Reads what has arrived, stops reading, and notifies the event loop that no further commands will be
+    /// reported. Without the last read, commands that wait unparsed or unread behind others would get no
+    /// answer.
     fn stop_reading(&mut self) {
+        if !self.shared.stop_accepting_requested.load(Ordering::SeqCst) {
+            self.accept_backlog();
+        }
+        self.read_arrived_input();
         self.reading_stopped = true;
         for connection in self.connections.values().filter(|connection| !connection.closing) {
             connection.shared.set_reading_paused(true);
@@ -228,6 +234,17 @@
         (self.events)(ReactorEvent::ReadingStopped);
     }
 
+    /// Accepts the connections that wait at the listeners, which are then closed.
+    fn accept_backlog(&mut self) {
+        for index in 0..self.accept_gate.listener_count() {
+            let mut open_before = None;
+            while open_before != Some(self.last_id) {
+                open_before = Some(self.last_id);
+                self.accept_waiting(index);
+            }
+        }
+    }
+
     /// Accepts connections that wait at a listener, up to [`MAX_ACCEPTS_PER_EVENT`].
     fn accept_waiting(&mut self, listener_index: usize) {
         if self.accept_gate.is_paused() {
--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -7,6 +7,10 @@
 use rustix::event::epoll::{self, EventFlags};
 use std::time::{Duration, Instant};
 
+/// How long commands are still read before the process exits. The rest of the time until SIGKILL is left for
+/// their answers.
+const LAST_READ_TIME: Duration = Duration::from_millis(100);
+
 impl ClientReactor {
     /// Handles the events of a connection: writes waiting answers, then reads and parses input.
     pub(super) fn handle_readiness(&mut self, id: ClientId, flags: EventFlags) {
@@ -22,6 +26,8 @@
                 open = connection.discard_input(&mut self.read_buffer, &self.events);
             }
             if !open {
+                // The event loop may still have commands of the client to answer.
+                connection.report(ConnectionEvent::Disconnected, &self.events);
                 self.remove_connection(id);
             }
             return;
@@ -42,12 +48,46 @@
         self.parse_input(id);
     }
 
+    /// Reads and parses what arrives on all connections, one read of each in turn, until there is nothing to
+    /// read, but no longer than [`LAST_READ_TIME`]. A client that sends without end delays the others little.
+    pub(super) fn read_arrived_input(&mut self) {
+        let deadline = Instant::now() + LAST_READ_TIME;
+        let ids: Vec<ClientId> = self.connections.keys().copied().collect();
+        let mut has_read = true;
+        while has_read && Instant::now() < deadline {
+            has_read = false;
+            for id in &ids {
+                has_read |= self.read_once(*id);
+            }
+        }
+    }
+
+    /// Parses what has been read on a connection, reads once more if bytes have arrived, and parses those.
+    /// Returns whether bytes were read.
+    fn read_once(&mut self, id: ClientId) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else { return false };
+        if connection.is_closing() || !connection.begin_command() {
+            return false;
+        }
+        if !connection.shared.has_unread_input() {
+            self.parse_input(id);
+            return false;
+        }
+        if !connection.read(&mut self.read_buffer, &self.clock) {
+            connection.report_disconnect(&mut self.read_buffer, &self.events);
+            self.remove_connection(id);
+            return false;
+        }
+        self.parse_input(id);
+        true
+    }
+
     /// Parses the input that has been read, and sets the deadline for completing the next command.
     fn parse_input(&mut self, id: ClientId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let progress = connection.parse(&self.settings, &self.events);
         if progress == ParseProgress::Finished {
-            return self.start_closing(id, COMMAND_TIMEOUT);
+            return self.end_input(id);
         }
         connection.update_incomplete_command_bytes(&mut self.incomplete_command_bytes);
         self.close_longest_incomplete_commands();
@@ -69,7 +109,7 @@
             let Some(id) = self.longest_incomplete_command() else { return };
             self.connections[&id]
                 .report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
-            self.start_closing(id, COMMAND_TIMEOUT);
+            self.end_input(id);
         }
     }
 
@@ -105,7 +145,7 @@
                 }
             } else if !self.reading_stopped {
                 connection.report(ConnectionEvent::Malformed(ProtocolError::CommandTimeout), &self.events);
-                self.start_closing(id, COMMAND_TIMEOUT);
+                self.end_input(id);
             }
         }
     }
@@ -125,6 +165,20 @@
         connection.shared.set_reading_paused(false);
     }
 
+    /// Ends the input of a connection, of which a last event has been reported. The event loop closes it once
+    /// the earlier commands have been answered; without any, it is closed here after [`COMMAND_TIMEOUT`].
+    fn end_input(&mut self, id: ClientId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !connection.shared.has_unanswered_commands() {
+            return self.start_closing(id, COMMAND_TIMEOUT);
+        }
+        self.deadlines.replace(id, connection.deadline, None);
+        connection.drop_incomplete_command(&mut self.incomplete_command_bytes);
+        connection.closing = true;
+        connection.deadline = None;
+        connection.shared.end_input();
+    }
+
     /// Removes a connection from the reactor. Its socket is closed once the event loop has dropped its handle
     /// as well.
     pub(super) fn remove_connection(&mut self, id: ClientId) {
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -3,7 +3,7 @@
 use super::ReactorLimits;
 use super::event_barrier::EventBarrier;
 use super::write_buffer::{MAX_WAITING_ANSWERS, WriteBuffer};
-use crate::client::ClientId;
+use crate::client::{ClientId, Refusal};
 use crate::memory_budget::{HeldBytes, OverBudget};
 use crossbeam_channel::{Receiver, bounded};
 use rustix::event::epoll::{self, EventData, EventFlags};
@@ -88,6 +88,11 @@
         self.requested_barriers.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Whether the event loop has requested that reading stops.
+    pub(super) fn is_reading_stopped(&self) -> bool {
+        self.stop_reading_requested.load(Ordering::SeqCst)
+    }
+
     /// Whether the limit on open connections is reached.
     pub(super) fn is_full(&self) -> bool {
         self.open_connections.load(Ordering::SeqCst) >= self.limits.max_connections
@@ -137,6 +142,8 @@
     unanswered_command_bytes: HeldBytes,
     /// Whether reading is paused until the client may send another command.
     pub(super) reading_paused: bool,
+    /// Whether no further command is read, although earlier ones may be unanswered.
+    pub(super) input_ended: bool,
     /// Whether the connection is registered with the reactor's `epoll` instance.
     registered: bool,
     /// Whether the reactor has removed the connection.
@@ -152,6 +159,7 @@
             unanswered_command_sizes: VecDeque::new(),
             unanswered_command_bytes,
             reading_paused: false,
+            input_ended: false,
             registered: false,
             removed: false,
             closing: false,
@@ -218,6 +226,20 @@
         true
     }
 
+    /// Ends the input of a connection whose commands are still to be answered. A close by the client is still
+    /// reported.
+    pub(super) fn end_input(&self) {
+        let mut state = self.state();
+        state.input_ended = true;
+        state.reading_paused = true;
+        self.update_interest(&mut state, false);
+    }
+
+    /// Whether bytes of the client have arrived that are not read yet.
+    pub(super) fn has_unread_input(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Ok(length) if length > 0)
+    }
+
     /// Closes this side of the connection. A full close while bytes are unread would make TCP reset the
     /// connection, and the client would lose the part of its answer that it has not received yet.
     pub(super) fn half_close(&self) {
@@ -230,8 +252,12 @@
     }
 
     /// Whether another command may be read. If not, pauses reading until a command has been answered or
-    /// answers have been written.
+    /// answers have been written. Before the process exits, the commands that have arrived are read whatever
+    /// the limits, as they are answered without a member.
     pub(super) fn has_capacity(&self) -> bool {
+        if self.reactor.is_reading_stopped() {
+            return true;
+        }
         let mut state = self.state();
         let own_bytes = state.unanswered_command_bytes.bytes();
         let all_bytes = self.reactor.limits.command_memory.used();
@@ -266,15 +292,24 @@
         state.write_buffer.exceeds(part, &self.reactor.unwritten_bytes, max_total_bytes)
     }
 
-    /// Counts a command that is about to be reported. Fails if the client exceeds its part of the memory for
-    /// commands; the caller must then drop the command's bytes, and report it as rejected.
-    pub(super) fn command_received(&self, size: usize) -> Result<(), OverBudget> {
+    /// Counts a command that is about to be reported. Fails if the command is refused; the caller must then
+    /// drop the command's bytes.
+    pub(super) fn command_received(&self, size: usize) -> Result<(), Refusal> {
         self.unfinished_commands.fetch_add(1, Ordering::SeqCst);
         let mut state = self.state();
+        let accepted = self.accept_command(&mut state, size);
+        state.unanswered_command_sizes.push_back(if accepted.is_ok() { size } else { 0 });
+        accepted
+    }
+
+    /// Accepts a command unless the process is about to exit, or the client would exceed its part of the
+    /// memory for commands.
+    fn accept_command(&self, state: &mut ConnectionState, size: usize) -> Result<(), Refusal> {
+        if self.reactor.is_reading_stopped() {
+            return Err(Refusal::ShuttingDown);
+        }
         let bytes = state.unanswered_command_bytes.bytes() + size;
-        let counted = state.unanswered_command_bytes.try_set(bytes);
-        state.unanswered_command_sizes.push_back(if counted.is_ok() { size } else { 0 });
-        counted
+        state.unanswered_command_bytes.try_set(bytes).map_err(|OverBudget| Refusal::OverBudget)
     }
 
     /// Counts the oldest command as answered, and resumes reading if it is paused.
@@ -284,7 +319,7 @@
         let size = state.unanswered_command_sizes.pop_front().unwrap_or(0);
         let bytes = state.unanswered_command_bytes.bytes() - size;
         state.unanswered_command_bytes.set(bytes);
-        if state.reading_paused && !self.reactor.stop_reading_requested.load(Ordering::SeqCst) {
+        if state.reading_paused && !state.input_ended && !self.reactor.is_reading_stopped() {
             state.reading_paused = false;
             self.update_interest(&mut state, true);
         }
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -1,6 +1,6 @@
 use super::connection::PartialBatch;
 use super::deadlines::Deadlines;
-use super::write_buffer::{Added, WriteBuffer};
+use super::write_buffer::{Added, MAX_WAITING_ANSWERS, WriteBuffer, WriteLimits};
 use crate::client::BatchEnd;
 use crate::pg::ProtocolError;
 use std::io::Read;
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 const MAX_TOTAL: usize = 100;
+const LIMITS: WriteLimits = WriteLimits { max_answers: MAX_WAITING_ANSWERS, max_total_bytes: MAX_TOTAL };
 
 fn connected_pair() -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -20,8 +21,8 @@
 fn first_answer_in_an_empty_buffer_is_accepted_whatever_its_size() {
     let total = AtomicUsize::new(0);
     let mut buffer = WriteBuffer::default();
-    assert!(buffer.push(vec![0; MAX_TOTAL + 1], &total, MAX_TOTAL) == Added::First);
-    assert!(buffer.push(vec![0], &total, MAX_TOTAL) == Added::Rejected);
+    assert!(buffer.push(vec![0; MAX_TOTAL + 1], &total, LIMITS) == Added::First);
+    assert!(buffer.push(vec![0], &total, LIMITS) == Added::Rejected);
     assert_eq!(total.load(Ordering::SeqCst), MAX_TOTAL + 1);
     assert_eq!(buffer.counted_bytes(), MAX_TOTAL + 1);
 }
@@ -30,13 +31,13 @@
 fn waiting_answers_are_limited_in_bytes_and_in_number() {
     let total = AtomicUsize::new(0);
     let mut buffer = WriteBuffer::default();
-    assert!(buffer.push(vec![0; 60], &total, MAX_TOTAL) == Added::First);
-    assert!(buffer.push(vec![0; 41], &total, MAX_TOTAL) == Added::Rejected);
-    assert!(buffer.push(vec![0; 40], &total, MAX_TOTAL) == Added::Queued);
+    assert!(buffer.push(vec![0; 60], &total, LIMITS) == Added::First);
+    assert!(buffer.push(vec![0; 41], &total, LIMITS) == Added::Rejected);
+    assert!(buffer.push(vec![0; 40], &total, LIMITS) == Added::Queued);
     for _ in 2..16 {
-        assert!(buffer.push(vec![], &total, MAX_TOTAL) == Added::Queued);
+        assert!(buffer.push(vec![], &total, LIMITS) == Added::Queued);
     }
-    assert!(buffer.push(vec![], &total, MAX_TOTAL) == Added::Rejected);
+    assert!(buffer.push(vec![], &total, LIMITS) == Added::Rejected);
     assert_eq!(total.load(Ordering::SeqCst), MAX_TOTAL);
 }
 
@@ -47,7 +48,7 @@
     let total = AtomicUsize::new(0);
     let mut buffers = [(); 3].map(|()| WriteBuffer::default());
     for (buffer, length) in buffers.iter_mut().zip([90, 40, 15]) {
-        assert!(buffer.push(vec![0; length], &total, MAX_TOTAL) == Added::First);
+        assert!(buffer.push(vec![0; length], &total, LIMITS) == Added::First);
     }
     let exceeds = |max_total| buffers.each_ref().map(|buffer| buffer.exceeds(20, &total, max_total));
     assert_eq!(exceeds(145), [false, false, false]);
@@ -58,8 +59,8 @@
 fn flush_writes_answers_in_order_and_subtracts_them_from_the_total() {
     let total = AtomicUsize::new(0);
     let mut buffer = WriteBuffer::default();
-    buffer.push(b"first ".to_vec(), &total, MAX_TOTAL);
-    buffer.push(b"second".to_vec(), &total, MAX_TOTAL);
+    buffer.push(b"first ".to_vec(), &total, LIMITS);
+    buffer.push(b"second".to_vec(), &total, LIMITS);
     let (mut client, server) = connected_pair();
     assert!(buffer.flush(&server, &total));
     assert!(buffer.is_empty());
@@ -74,7 +75,7 @@
     let length = 64 << 20;
     let total = AtomicUsize::new(0);
     let mut buffer = WriteBuffer::default();
-    buffer.push(vec![0; length], &total, MAX_TOTAL);
+    buffer.push(vec![0; length], &total, LIMITS);
     let (_client, server) = connected_pair();
     server.set_nonblocking(true).unwrap();
     assert!(buffer.flush(&server, &total));
--- a/src/net/client/write_buffer.rs
+++ b/src/net/client/write_buffer.rs
@@ -21,6 +21,15 @@
     Rejected,
 }
 
+/// The limits on answers behind the first one.
+#[derive(Clone, Copy)]
+pub(super) struct WriteLimits {
+    /// The most answers that wait for this client's socket.
+    pub(super) max_answers: usize,
+    /// The most bytes of the waiting answers of all clients.
+    pub(super) max_total_bytes: usize,
+}
+
 /// The queue of answers that wait for a client's socket. Their bytes also count in a total over all clients;
 /// all bytes of an answer count until it has been written completely.
 #[derive(Default)]
@@ -57,16 +66,12 @@
     }
 
     /// Adds an answer. The first answer in an empty buffer is accepted whatever the limits.
-    pub(super) fn push(
-        &mut self,
-        answer: Vec<u8>,
-        total_bytes: &AtomicUsize,
-        max_total_bytes: usize,
-    ) -> Added {
+    pub(super) fn push(&mut self, answer: Vec<u8>, total_bytes: &AtomicUsize, limits: WriteLimits) -> Added {
         let length = answer.len();
         let total_before = total_bytes.fetch_add(length, Ordering::SeqCst);
         let must_wait = !self.answers.is_empty();
-        let too_much = total_before + length > max_total_bytes || self.answers.len() >= MAX_WAITING_ANSWERS;
+        let exceeds_bytes = total_before + length > limits.max_total_bytes;
+        let too_much = exceeds_bytes || self.answers.len() >= limits.max_answers;
         if must_wait && too_much {
             total_bytes.fetch_sub(length, Ordering::SeqCst);
             return Added::Rejected;
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    fn set_service_state(&mut self, now: Micros, state: ServiceState) {
+    pub(super) fn set_service_state(&mut self, now: Micros, state: ServiceState) {
         let effects = self.fronts.set_service_state(now, state);
         self.apply_front_effects(now, effects);
     }
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -2,6 +2,7 @@
 
 use super::{LOG_TARGET, Server};
 use crate::core::Input;
+use crate::front::ServiceState;
 use crate::{Micros, Settings};
 use std::ops::ControlFlow;
 use std::time::Duration;
@@ -162,6 +163,10 @@
         let may_end = is_done && now >= schedule.may_end_at;
         if self.shutdown.reading == Reading::Active && (may_end || now >= schedule.fail_pending_at) {
             self.shutdown.reading = Reading::Stopping;
+            // While the process starts, empty queries wait for the service state.
+            if self.ready_at.take().is_some() {
+                self.set_service_state(now, ServiceState::OutOfService);
+            }
             self.client_reactor.stop_reading();
         }
         // While there is time to wait, the event loop ends only after all commands that were read have been
--- a/src/state/session_commits.rs
+++ b/src/state/session_commits.rs
@@ -79,7 +79,7 @@
     /// The position that an endpoint must have reached to serve a request that arrives when its group's clock
     /// reads `group_time`; 0 for none. A bound on staleness is not included, because it depends on the time
     /// at which the request is sent. `uptime` is the age of this table: a session without a commit may have
-    /// committed through an earlier process.
+    /// committed through an earlier process, which matters where endpoints don't check positions.
     pub(crate) fn required_position(
         &self,
         request: &Request,
@@ -90,8 +90,9 @@
         match settings.classes[request.class].requirement {
             Requirement::Latest => group_time,
             Requirement::ReadYourWrites if settings.remember_commits => {
-                let earlier_process = (request.session != 0).then(|| group_time.saturating_sub(uptime));
-                self.last(request.session_in_group()).or(earlier_process).unwrap_or(0)
+                let is_bounded = request.session != 0 && settings.endpoints_serve_stale();
+                let started_at = is_bounded.then(|| group_time.saturating_sub(uptime));
+                self.last(request.session_in_group()).or(started_at).unwrap_or(0)
             }
             Requirement::ReadYourWrites => {
                 let last_write = request.time_since_write.map(|elapsed| group_time.saturating_sub(elapsed));
--- a/tests/proxy/pipelining/failures.rs
+++ b/tests/proxy/pipelining/failures.rs
@@ -164,6 +164,86 @@
     }
 }
 
+/// Guards against the loss of commands that wait, unparsed or unread, behind those in progress when the process
+/// ends.
+#[test]
+fn every_command_that_has_arrived_gets_one_reply_on_sigterm_however_many_are_ahead_of_it() {
+    // The first number is parsed in part; of the second, some are still in the socket.
+    for (listener, commands) in LISTENERS.into_iter().flat_map(|listener| [(listener, 24), (listener, 1500)])
+    {
+        let (primary, _replicas, mut proxy) = start_group(2);
+        primary.plan(&[listener.hang()]);
+        let mut client = listener.connect(&proxy);
+        let reads = (2..=commands).flat_map(|id| listener.read_query(id, "any", KEY));
+        client.send(&[listener.write_query(1, 15_000, KEY), reads.collect()].concat());
+        primary.wait_for(MemberEvent::Hanging);
+        proxy.signal("-TERM");
+        assert!(client.read_reply().ends_with("E(08007) Z"), "{listener:?}: the write may have executed");
+        for id in 2..=commands {
+            let reply = client.read_reply();
+            assert!(reply.ends_with("E(53300) Z"), "{listener:?}, command {id} of {commands}: {reply}");
+        }
+        assert_eq!(client.read_reply(), "end");
+        assert!(proxy.child.wait().unwrap().success());
+    }
+}
+
+/// Guards against the loss of commands ahead of something for which the connection is closed.
+#[test]
+fn commands_are_answered_before_their_connection_is_closed_for_what_follows_them() {
+    for (ending, expected) in [(b"!\0\0\0\x04".as_slice(), "E(08P01) end"), (b"X\0\0\0\x04", "end")] {
+        for listener in LISTENERS {
+            let (primary, _replicas, proxy) = start_group(2);
+            primary.plan(&[MemberBehavior::HoldReply("slow")]);
+            let mut client = listener.connect(&proxy);
+            let commands = [listener.write_query(1, 9000, KEY), listener.read_query(2, "any", KEY)];
+            client.send(&[commands.concat().as_slice(), ending].concat());
+            primary.wait_for(MemberEvent::ReplyHeld);
+            // Longer than a client may take for a command that it has begun.
+            std::thread::sleep(Duration::from_millis(2400));
+            primary.release_replies(1);
+            assert_eq!(client.read_reply(), listener.served("slow"), "{listener:?}, {ending:?}");
+            assert_eq!(client.read_reply(), listener.served("value"), "{listener:?}, {ending:?}");
+            assert_eq!(client.read_reply_until(|_| false), expected, "{listener:?}, {ending:?}");
+        }
+    }
+}
+
+/// Guards against the loss of commands ahead of one that the client does not complete in time.
+#[test]
+fn commands_get_a_reply_each_when_their_client_does_not_complete_the_next_one() {
+    for listener in LISTENERS {
+        let (primary, _replicas, proxy) = start_group(2);
+        primary.plan(&[listener.hang()]);
+        let mut client = listener.connect(&proxy);
+        let commands = [listener.write_query(1, 9000, KEY), listener.read_query(2, "any", KEY)];
+        client.send(&[commands.concat().as_slice(), b"Q\0\0"].concat());
+        assert_eq!(client.read_reply(), "E(08007) Z", "{listener:?}: the write may have executed");
+        assert_eq!(client.read_reply(), "E(53300) Z", "{listener:?}: the read has not been started");
+        assert_eq!(client.read_reply_until(|_| false), "E(08P01) end", "{listener:?}");
+        wait_for_counter(&proxy, "pending=0");
+        assert_eq!(executed_ids(&[&primary]), [1], "{listener:?}");
+    }
+}
+
+/// Guards against requests that are sent on for a client that has left behind a message that ends its connection.
+#[test]
+fn client_that_leaves_after_a_malformed_message_gets_nothing_started() {
+    for listener in LISTENERS {
+        let (primary, _replicas, proxy) = start_group(2);
+        primary.plan(&[MemberBehavior::HoldReply("slow")]);
+        let mut client = listener.connect(&proxy);
+        let commands = [listener.write_query(1, 9000, KEY), listener.write_query(2, 9000, KEY)];
+        client.send(&[commands.concat().as_slice(), b"!\0\0\0\x04"].concat());
+        primary.wait_for(MemberEvent::ReplyHeld);
+        drop(client);
+        wait_for_counter(&proxy, "pending=0");
+        primary.release_replies(1);
+        std::thread::sleep(Duration::from_millis(100));
+        assert_eq!(executed_ids(&[&primary]), [1], "{listener:?}");
+    }
+}
+
 #[test]
 fn prepared_statement_survives_a_batch_that_failed_after_its_parse_but_not_a_rejected_one() {
     let (_primary, replicas, proxy) = start_group(1);
