53300 and "nothing has run" are said only when nothing of the unit has run

Cause: what follows a Flush is a request of its own, whose refusal was passed on for the whole unit.

Change: a batch knows whether an earlier part of its transaction has run; then it fails (08007) where it would be refused, by the core or by the proxy itself. The reducer rejects no request that a member may have executed, of whatever class. A batch that its member rejects behind an answered Execute may have run.

--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -121,8 +121,7 @@
 pub enum FinalAnswer<A> {
     /// The request was served with this response.
     Served(A),
-    /// The request was rejected, and a retry is harmless: it has not been executed, or its class allows
-    /// repeats.
+    /// The request was rejected and has not been executed, so that a retry is harmless.
     Rejected {
         /// The retry delay advised to the client; 0 for none.
         retry_after: Micros,
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -104,14 +104,7 @@
     /// router has not given one.
     pub(super) fn expire_request(&mut self, now: Micros, id: RequestId) {
         let Some(pending) = self.requests.remove(&id) else { return };
-        let in_flight = self.jobs.values().any(|job| job.is_attempt_of(id));
-        let maybe_executed = in_flight || pending.first_maybe_executed_at.is_some();
-        let retry_is_harmless = pending.idempotency == Idempotency::Idempotent || !maybe_executed;
-        let answer = if retry_is_harmless {
-            FinalAnswer::Rejected { retry_after: 0 }
-        } else {
-            FinalAnswer::Failed { maybe_executed }
-        };
+        let answer = self.rejection(id, &pending, 0);
         self.answer_unserved(id, pending.class, pending.attempts, answer, GiveUpReason::Deadline);
         self.release_request(now, id);
     }
@@ -132,11 +125,23 @@
     /// Rejects a pending request, as the router has decided.
     pub(super) fn reject_request(&mut self, id: RequestId, retry_after: Micros, reason: GiveUpReason) {
         if let Some(pending) = self.requests.remove(&id) {
-            let answer = FinalAnswer::Rejected { retry_after };
+            let answer = self.rejection(id, &pending, retry_after);
             self.answer_unserved(id, pending.class, pending.attempts, answer, reason);
         }
     }
 
+    /// The answer to a request that is not served: a rejection, which says that nothing was executed, or a
+    /// failure if a member may have executed it. The router also rejects a request of a class that allows
+    /// repeats after it may have been executed.
+    fn rejection(&self, id: RequestId, pending: &PendingRequest<W>, retry_after: Micros) -> FinalAnswer<A> {
+        let in_flight = self.jobs.values().any(|job| job.is_attempt_of(id));
+        if in_flight || pending.first_maybe_executed_at.is_some() {
+            FinalAnswer::Failed { maybe_executed: true }
+        } else {
+            FinalAnswer::Rejected { retry_after }
+        }
+    }
+
     /// Fails a pending request, as the router has decided.
     pub(super) fn fail_request(&mut self, id: RequestId, reason: GiveUpReason) {
         if let Some(pending) = self.requests.remove(&id) {
--- a/src/extended/execution.rs
+++ b/src/extended/execution.rs
@@ -88,6 +88,8 @@
     expected: VecDeque<ExpectedReply>,
     /// The timeout in the texts of the batch's statements, in milliseconds.
     timeout_ms: u64,
+    /// Whether the member has sent a result of an Execute.
+    pub has_executed: bool,
     /// The replies for the client.
     pub response: Vec<u8>,
     /// The SQLSTATE of the member's ErrorResponse, after which the member skips the rest of the batch; empty
@@ -279,6 +281,7 @@
         let Some(reply_match) = self.expected.front().and_then(|expected| expected.match_message(tag)) else {
             return Progress::ProtocolViolation;
         };
+        self.has_executed |= matches!(self.expected.front(), Some(ExpectedReply::ExecuteResult));
         if reply_match.forwarded {
             self.response.extend_from_slice(message);
         }
--- a/src/front/postgres/error.rs
+++ b/src/front/postgres/error.rs
@@ -64,6 +64,9 @@
     /// An operator has taken the proxy out of service.
     #[error("out of service")]
     OutOfService,
+    /// The batch was refused behind a Flush that has committed an earlier part of its implicit transaction.
+    #[error("refused; what came before the Flush has run")]
+    RefusedAfterExecution,
 }
 
 impl BatchError {
@@ -83,6 +86,18 @@
             BatchError::UnknownStatement { .. } => sqlstate::INVALID_SQL_STATEMENT_NAME,
             BatchError::UnknownPortal { .. } => sqlstate::INVALID_CURSOR_NAME,
             BatchError::OutOfService => sqlstate::CANNOT_CONNECT_NOW,
+            BatchError::RefusedAfterExecution => sqlstate::TRANSACTION_RESOLUTION_UNKNOWN,
+        }
+    }
+
+    /// The error to report if an earlier part of the client's implicit transaction has been executed: the codes
+    /// of a refusal would say that nothing has.
+    pub fn after_execution(self) -> Self {
+        match self.sqlstate() {
+            sqlstate::TOO_MANY_CONNECTIONS | sqlstate::CANNOT_CONNECT_NOW => {
+                BatchError::RefusedAfterExecution
+            }
+            _ => self,
         }
     }
 
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -54,6 +54,8 @@
     may_write: bool,
     /// The type of the message that ended the batch.
     end: BatchEnd,
+    /// Whether a member may have executed an earlier part of the client's implicit transaction, up to a Flush.
+    follows_execution: bool,
 }
 
 /// The memory that the extended front may use.
@@ -124,7 +126,7 @@
         if text.trim_ascii().is_empty() {
             let mut reply = Vec::new();
             pg::put_message(&mut reply, backend::EMPTY_QUERY_RESPONSE, &[]);
-            pg::put_ready_for_query(&mut reply);
+            session.end_batch(BatchEnd::Query, &mut reply);
             return Ok(CommandStep::Reply(reply));
         }
         let statement = self.analyzer.analyze(text, &[])?;
@@ -140,10 +142,16 @@
             timeout_digits: statement::parse_fields(text).timeout.map(|timeout| timeout.digits),
         };
         let request = self.analyzer.combine(&statements, member_request)?;
+        let follows_execution = session.executed_before_flush;
         session.end_transaction();
         let session_in_group = SessionInGroup { session: session_key, group: request.group };
-        let context =
-            BatchContext { parsed: Vec::new(), session: session_in_group, may_write, end: BatchEnd::Query };
+        let context = BatchContext {
+            parsed: Vec::new(),
+            session: session_in_group,
+            may_write,
+            end: BatchEnd::Query,
+            follows_execution,
+        };
         Ok(CommandStep::Forward(request, context))
     }
 
@@ -165,6 +173,7 @@
             session.undo_parses(plan.parsed, 0);
             return Err(error);
         }
+        let follows_execution = session.executed_before_flush;
         session.executed_before_flush |= executes;
         let statements = BatchStatements {
             statements: &plan.statements,
@@ -192,6 +201,7 @@
             session: SessionInGroup { session: plan.session_key, group: request.group },
             may_write: executes && plan.statements.iter().any(|statement| statement.may_write),
             end: batch.end,
+            follows_execution,
         };
         Ok(CommandStep::Forward(request, context))
     }
@@ -267,6 +277,7 @@
             return CommandStep::Reply(reply);
         }
         self.start_batch(session, &batch, service).unwrap_or_else(|error| {
+            let error = if session.executed_before_flush { error.after_execution() } else { error };
             pg::put_error_response(&mut reply, "ERROR", error.sqlstate(), &error.to_string(), None);
             session.fail_batch(batch.end, &mut reply);
             CommandStep::Reply(reply)
@@ -295,6 +306,12 @@
         context: BatchContext,
         answer: FinalAnswer<MemberResponse>,
     ) -> Vec<u8> {
+        // A part of the implicit transaction that a Flush has committed stays, whatever happens to the rest.
+        let answer = match answer {
+            FinalAnswer::Served(response) => FinalAnswer::Served(response),
+            _ if context.follows_execution => FinalAnswer::Failed { maybe_executed: true },
+            unserved => unserved,
+        };
         let mut reply = Vec::new();
         append_final_answer(&mut reply, &answer);
         let ReplySummary { parse_completes, has_error } = ReplySummary::of(&reply);
--- a/src/front/postgres/tests.rs
+++ b/src/front/postgres/tests.rs
@@ -1,6 +1,7 @@
 use super::bind::parse_parameters;
 use super::*;
 use crate::pg::message_tags::{describe_targets, frontend};
+use crate::pg::sqlstate;
 
 fn message(tag: u8, body: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::new();
@@ -69,7 +70,33 @@
     assert_eq!(text(&session), b"select 4");
 }
 
+/// Guards against "nothing has run" from the proxy itself, for want of memory or of time, behind a part that has run.
+#[test]
+fn refusal_behind_an_executed_part_of_the_transaction_is_a_failure() {
+    for (executed, sqlstate) in [(false, sqlstate::TOO_MANY_CONNECTIONS), (true, "08007")] {
+        for refusal in [Refusal::OverBudget, Refusal::ShuttingDown, Refusal::ConnectionClosed] {
+            let limits = PostgresLimits { session_memory: MemoryBudget::new(4096, 0, 1), commit_bytes: 96 };
+            let (config, settings) = listener();
+            let mut postgres = Postgres::new(config, settings, limits, 0).unwrap();
+            let mut session = postgres.new_session();
+            session.executed_before_flush = executed;
+            let refused = ClientBatch { refusal: Some(refusal), ..batch(Vec::new()) };
+            let step = postgres.start(&mut session, refused, ServiceState::InService);
+            let CommandStep::Reply(reply) = step else { panic!("{refusal:?} is answered by the proxy") };
+            let text = String::from_utf8_lossy(&reply);
+            assert!(text.contains(&format!("C{sqlstate}")), "{refusal:?}: {text}");
+            assert_eq!(text.contains("nothing has run"), !executed, "{refusal:?}: {text}");
+        }
+    }
+}
+
 fn analyzer() -> StatementAnalyzer {
+    let (config, settings) = listener();
+    StatementAnalyzer::new(config, settings).unwrap()
+}
+
+/// A listener whose settings have one class.
+fn listener() -> (ExtendedListenerConfig, Arc<Settings>) {
     let class = crate::Class {
         requirement: crate::Requirement::Any,
         idempotency: crate::Idempotency::Idempotent,
@@ -89,5 +116,5 @@
         session_parameter: 0,
         statements: 8,
     };
-    StatementAnalyzer::new(config, Arc::new(settings)).unwrap()
+    (config, Arc::new(settings))
 }
--- a/src/net/member/extended_query.rs
+++ b/src/net/member/extended_query.rs
@@ -180,12 +180,19 @@
         }
         let BatchReplies { execution, status, held, .. } = replies;
         let error = execution.error.as_deref();
-        if error == Some(INVALID_SQL_STATEMENT_NAME) {
-            // The member has lost a prepared statement that the cache of this connection contains. The batch
-            // had no effect, so it counts as rejected. The connection is closed, so that the next one starts
-            // with an empty cache.
-            return JobReply::failed(Outcome::RejectedByMember);
+        let is_statement_lost = error == Some(INVALID_SQL_STATEMENT_NAME);
+        // A member that has lost a prepared statement which the cache of this connection contains has rejected
+        // the batch, which had no effect.
+        let rejection = is_statement_lost.then_some(Outcome::RejectedByMember);
+        let outcome = match rejection.unwrap_or_else(|| outcome_of_reply(error)) {
+            // A part of the batch has been executed before the member rejected the rest.
+            Outcome::RejectedByMember if execution.has_executed => Outcome::Error,
+            outcome => outcome,
+        };
+        if is_statement_lost {
+            // The connection is closed, so that the next one starts with an empty cache.
+            return JobReply::failed(outcome);
         }
-        JobReply::answered(outcome_of_reply(error), status, execution.response, held, self.connection)
+        JobReply::answered(outcome, status, execution.response, held, self.connection)
     }
 }
--- a/src/pg/sqlstate.rs
+++ b/src/pg/sqlstate.rs
@@ -4,8 +4,7 @@
 pub const PROTOCOL_VIOLATION: &str = "08P01";
 /// An operator has taken the proxy out of service.
 pub const CANNOT_CONNECT_NOW: &str = "57P03";
-/// The request or the connection was rejected, and a retry is harmless: nothing has been executed, or the
-/// class of the request allows repeats.
+/// The request or the connection was rejected, and nothing has been executed, so that a retry is harmless.
 pub const TOO_MANY_CONNECTIONS: &str = "53300";
 /// The request failed, and may have been executed.
 pub const TRANSACTION_RESOLUTION_UNKNOWN: &str = "08007";
--- a/tests/proxy/extended.rs
+++ b/tests/proxy/extended.rs
@@ -94,6 +94,39 @@
     assert_eq!(primary.executed_count() + replica.executed_count(), 5);
 }
 
+/// Guards against a unit that is called refused, so that its client sends it again, though the part up to a Flush
+/// has run and stays.
+#[test]
+fn unit_whose_first_part_has_run_is_not_refused() {
+    let faults = [MemberBehavior::ResetOn(b'P'), MemberBehavior::HangOn(b'P')];
+    let rest = [
+        "P x SELECT payload FROM drafts WHERE ref = $1 /* c=any,d=300 */ | S",
+        "P x INSERT INTO drafts VALUES ($1) /* d=300 */ | B - x | DP - | S",
+    ];
+    for (fault, rest) in faults.into_iter().flat_map(|fault| rest.map(|rest| (fault, rest))) {
+        let primary = MockMember::start(true);
+        let proxy = Proxy::start(&[&primary]);
+        let mut client = proxy.connect_extended();
+        primary.plan(&[MemberBehavior::Serve]);
+        primary.plan(&[fault; 100]);
+        let reply = run_batch(&mut client, &format!("{WRITE} | B - w | E - | H | {rest}"));
+        assert_eq!(reply, "1 2 D(value) C E(08007) Z", "{fault:?}, {rest}");
+        assert_eq!(primary.executed_count(), 1, "{fault:?}, {rest}");
+    }
+}
+
+/// Guards against the same where a member rejects a part of a batch behind an Execute that has run.
+#[test]
+fn batch_that_its_member_rejects_behind_an_executed_part_is_not_refused() {
+    const REJECTION: &[u8] = b"C\0\0\0\x09DONE\0E\0\0\0\x0cC53300\0\0Z\0\0\0\x05I";
+    let (primary, _replica, proxy) = start_pair();
+    let mut client = proxy.connect_extended();
+    primary.plan(&[MemberBehavior::SendRaw(REJECTION); 4]);
+    let reply = run_batch(&mut client, &format!("{WRITE} | B - w | E - | B - w | E - | S"));
+    assert_eq!(reply, "E(08007) Z");
+    assert_eq!(primary.received().iter().filter(|line| line.starts_with("P ")).count(), 1, "sent once");
+}
+
 #[test]
 fn interrupted_read_is_retried() {
     let (primary, replica, proxy) = start_pair();
--- a/tests/proxy/pipelining/failures.rs
+++ b/tests/proxy/pipelining/failures.rs
@@ -164,6 +164,24 @@
     }
 }
 
+/// Guards against "nothing has run" for a read that a member has, and may be running.
+#[test]
+fn read_that_may_have_run_is_a_failure_and_one_that_was_never_sent_is_refused() {
+    for listener in LISTENERS {
+        let (primary, replicas, proxy) = start_group(1);
+        let hang = [listener.hang(); 8];
+        primary.plan(&hang);
+        replicas[0].plan(&hang);
+        let mut client = listener.connect(&proxy);
+        client.send(&listener.read_query_with_timeout(1, "any", KEY, 300));
+        assert_eq!(client.read_reply(), "E(08007) Z", "{listener:?}");
+        assert!(!executed_ids(&[&primary, &replicas[0]]).is_empty(), "{listener:?}: the read was sent");
+        // A write that waits behind another one for longer than its time is never sent.
+        client.send(&[listener.write_query(2, 600, KEY), listener.write_query(3, 300, KEY)].concat());
+        assert_eq!([client.read_reply(), client.read_reply()], ["E(08007) Z", "E(53300) Z"], "{listener:?}");
+    }
+}
+
 /// Guards against the loss of commands that wait, unparsed or unread, behind those in progress when the process
 /// ends.
 #[test]
