--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -45,8 +45,8 @@
     pub session: u64,
     /// The replication position that a read must see, as time on the core's clock.
     pub required_position: Option<Micros>,
-    /// If none of the session's commits is known: the time on the core's clock from which on its commits would
-    /// be known, because this process has run since then.
+    /// If none of the session's commits is known: the time on the core's clock from which on its commits
+    /// would be known, because this process has run since then.
     pub commits_known_since: Option<Micros>,
     /// Whether this is a retry by the client.
     pub is_retry: bool,
--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -313,8 +313,8 @@
         effects.push(FrontEffect::Close(id, reason));
     }
 
-    /// Answers all commands of a connection that waits for the rest of a command for too long. Each of them has
-    /// had at least as much time.
+    /// Answers all commands of a connection that waits for the rest of a command for too long. Each of
+    /// them has had at least as much time.
     fn end_commands(
         &mut self,
         registry: &mut RequestRegistry,
--- a/src/front/postgres/error.rs
+++ b/src/front/postgres/error.rs
@@ -90,8 +90,8 @@
         }
     }
 
-    /// The error to report if an earlier part of the client's implicit transaction has been executed: the codes
-    /// of a refusal would say that nothing has.
+    /// The error to report if an earlier part of the client's implicit transaction has been executed: the
+    /// codes of a refusal would say that nothing has.
     pub fn after_execution(self) -> Self {
         match self.sqlstate() {
             sqlstate::TOO_MANY_CONNECTIONS | sqlstate::CANNOT_CONNECT_NOW => {
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -54,7 +54,8 @@
     may_write: bool,
     /// The type of the message that ended the batch.
     end: BatchEnd,
-    /// Whether a member may have executed an earlier part of the client's implicit transaction, up to a Flush.
+    /// Whether a member may have executed an earlier part of the client's implicit transaction, up to a
+    /// Flush.
     follows_execution: bool,
 }
 
--- a/src/front/postgres/tests.rs
+++ b/src/front/postgres/tests.rs
@@ -70,7 +70,8 @@
     assert_eq!(text(&session), b"select 4");
 }
 
-/// Guards against "nothing has run" from the proxy itself, for want of memory or of time, behind a part that has run.
+/// Guards against "nothing has run" from the proxy itself, for want of memory or of time, behind a part
+/// that has run.
 #[test]
 fn refusal_behind_an_executed_part_of_the_transaction_is_a_failure() {
     for (executed, sqlstate) in [(false, sqlstate::TOO_MANY_CONNECTIONS), (true, "08007")] {
--- a/src/memory_budget/tests.rs
+++ b/src/memory_budget/tests.rs
@@ -18,3 +18,19 @@
     drop(holders);
     assert_eq!(budget.used(), 0);
 }
+
+/// Guards against budgets that hold each by itself, and together use more than there is.
+#[test]
+fn a_holder_exceeds_its_part_only_while_the_total_of_all_budgets_is_below_its_limit() {
+    let total = MemoryTotal::new(100);
+    let budgets = [(); 2].map(|()| MemoryBudget::within(total.clone(), 90, 20, 2));
+    let mut holders = budgets.each_ref().map(|budget| HeldBytes::new(budget.clone()));
+    assert_eq!(holders[0].try_set(80), Ok(()));
+    assert_eq!(holders[1].try_set(30), Err(OverBudget), "110 bytes in all");
+    assert_eq!(holders[1].try_set(20), Ok(()));
+    let mut third = HeldBytes::new(budgets[1].clone());
+    assert_eq!(third.try_set(10), Ok(()), "the guaranteed part, whatever the total");
+    assert_eq!(total.used(), 110);
+    drop(holders);
+    assert_eq!((total.used(), third.try_set(90)), (10, Ok(())));
+}
--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{COMMAND_TIMEOUT, ClientConnection, ConnectionEvent, ParseProgress};
 use super::reactor::{ClientReactor, LINGER_TIMEOUT};
-use crate::client::ClientId;
+use crate::client::{ClientId, Refusal};
 use crate::pg::ProtocolError;
 use rustix::event::epoll::{self, EventFlags};
 use std::time::{Duration, Instant};
@@ -107,8 +107,12 @@
     fn close_longest_incomplete_commands(&mut self) {
         while self.incomplete_command_bytes > self.shared.limits.max_incomplete_command_bytes {
             let Some(id) = self.longest_incomplete_command() else { return };
-            self.connections[&id]
-                .report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
+            let Some(connection) = self.connections.get_mut(&id) else { return };
+            // Complete commands may wait for capacity ahead of the incomplete one.
+            connection.shared.refuse_commands(Refusal::OverBudget);
+            if connection.parse(&self.settings, &self.events) != ParseProgress::Finished {
+                connection.report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
+            }
             self.end_input(id);
         }
     }
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -144,6 +144,8 @@
     pub(super) reading_paused: bool,
     /// Whether no further command is read, although earlier ones may be unanswered.
     pub(super) input_ended: bool,
+    /// Why all commands that are still parsed are refused; `None` if they are not.
+    refusal: Option<Refusal>,
     /// Whether the connection is registered with the reactor's `epoll` instance.
     registered: bool,
     /// Whether the reactor has removed the connection.
@@ -160,6 +162,7 @@
             unanswered_command_bytes,
             reading_paused: false,
             input_ended: false,
+            refusal: None,
             registered: false,
             removed: false,
             closing: false,
@@ -226,6 +229,11 @@
         true
     }
 
+    /// Refuses all commands that are parsed from now on.
+    pub(super) fn refuse_commands(&self, refusal: Refusal) {
+        self.state().refusal = Some(refusal);
+    }
+
     /// Ends the input of a connection whose commands are still to be answered. A close by the client is still
     /// reported.
     pub(super) fn end_input(&self) {
@@ -255,10 +263,10 @@
     /// answers have been written. Before the process exits, the commands that have arrived are read whatever
     /// the limits, as they are answered without a member.
     pub(super) fn has_capacity(&self) -> bool {
-        if self.reactor.is_reading_stopped() {
+        let mut state = self.state();
+        if self.reactor.is_reading_stopped() || state.refusal.is_some() {
             return true;
         }
-        let mut state = self.state();
         let own_bytes = state.unanswered_command_bytes.bytes();
         let all_bytes = self.reactor.limits.command_memory.used();
         let has_capacity = self.may_add_answer(&state)
@@ -308,6 +316,9 @@
         if self.reactor.is_reading_stopped() {
             return Err(Refusal::ShuttingDown);
         }
+        if let Some(refusal) = state.refusal {
+            return Err(refusal);
+        }
         let bytes = state.unanswered_command_bytes.bytes() + size;
         state.unanswered_command_bytes.try_set(bytes).map_err(|OverBudget| Refusal::OverBudget)
     }
--- a/src/net/member/extended_query.rs
+++ b/src/net/member/extended_query.rs
@@ -181,8 +181,8 @@
         let BatchReplies { execution, status, held, .. } = replies;
         let error = execution.error.as_deref();
         let is_statement_lost = error == Some(INVALID_SQL_STATEMENT_NAME);
-        // A member that has lost a prepared statement which the cache of this connection contains has rejected
-        // the batch, which had no effect.
+        // A member that has lost a prepared statement which the cache of this connection contains has
+        // rejected the batch, which had no effect.
         let rejection = is_statement_lost.then_some(Outcome::RejectedByMember);
         let outcome = match rejection.unwrap_or_else(|| outcome_of_reply(error)) {
             // A part of the batch has been executed before the member rejected the rest.
--- a/src/net/member/memory.rs
+++ b/src/net/member/memory.rs
@@ -7,9 +7,9 @@
 #[derive(Clone)]
 pub struct MemberMemory {
     /// The memory of the statements that are prepared on the connections.
-    pub(super) statements: Arc<MemoryBudget>,
+    pub statements: Arc<MemoryBudget>,
     /// The memory of responses to batches, until they are answered.
-    pub(super) responses: Arc<MemoryBudget>,
+    pub responses: Arc<MemoryBudget>,
 }
 
 impl MemberMemory {
--- a/src/server/fronts.rs
+++ b/src/server/fronts.rs
@@ -24,9 +24,10 @@
 }
 
 impl Fronts {
-    /// Creates fronts without connections. In each front, at most `max_reordered_bytes` of replies may wait
-    /// for earlier replies.
+    /// Creates fronts without connections. At most `max_reordered_bytes` of replies may wait for earlier
+    /// replies, half of them in each front.
     pub(super) fn new(postgres: Option<Postgres>, max_reordered_bytes: usize) -> Self {
+        let max_reordered_bytes = max_reordered_bytes / 2;
         Fronts {
             platform: ConnectionManager::new(Platform, max_reordered_bytes),
             postgres: postgres.map(|postgres| ConnectionManager::new(postgres, max_reordered_bytes)),
--- a/src/server/memory_division.rs
+++ b/src/server/memory_division.rs
@@ -1,12 +1,12 @@
 //! The division of the process's memory limit among what clients and members can fill.
 
 use super::descriptor_budget::DescriptorBudget;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MemoryBudget, MemoryTotal};
 use crate::net::member::MemberMemory;
 use std::sync::Arc;
 
 /// Each limit on buffers of all clients together is the memory limit divided by this.
-const BUFFER_DIVISOR: usize = 8;
+const BUFFER_DIVISOR: usize = 10;
 /// The memory limit is divided by these for the commands in progress.
 const COMMANDS: Share = Share { shared_divisor: 8, guaranteed_divisor: 8 };
 /// The memory limit is divided by these for the prepared statements and portals of clients.
@@ -16,6 +16,9 @@
 /// The memory limit is divided by these for responses to batches that have not been answered.
 const RESPONSES: Share = Share { shared_divisor: 8, guaranteed_divisor: 16 };
 
+/// All shares together may exceed the guaranteed parts while they use less than the memory limit divided by
+/// this. Without this limit, floods that each keep within one share would exceed the memory together.
+const SHARED_TOTAL_DIVISOR: usize = 8;
 /// Each table of the last commits of sessions takes at most the memory limit divided by this.
 const SESSION_COMMITS_DIVISOR: usize = 64;
 
@@ -28,10 +31,10 @@
 }
 
 impl Share {
-    fn budget(&self, memory_bytes: usize, holders: usize) -> Arc<MemoryBudget> {
+    fn budget(&self, total: &Arc<MemoryTotal>, memory_bytes: usize, holders: usize) -> Arc<MemoryBudget> {
         let shared = memory_bytes / self.shared_divisor;
         let guaranteed = memory_bytes / self.guaranteed_divisor;
-        MemoryBudget::new(shared, guaranteed, holders)
+        MemoryBudget::within(total.clone(), shared, guaranteed, holders)
     }
 }
 
@@ -53,15 +56,19 @@
     /// Divides `memory_bytes` for the connections that the descriptors allow.
     pub(super) fn new(memory_bytes: usize, connections: &DescriptorBudget) -> Self {
         let members = connections.member_connections;
+        let total = &MemoryTotal::new(memory_bytes / SHARED_TOTAL_DIVISOR);
         MemoryDivision {
             buffer_bytes: memory_bytes / BUFFER_DIVISOR,
-            commands: COMMANDS.budget(memory_bytes, connections.client_connections),
-            sessions: SESSIONS.budget(memory_bytes, connections.clients),
+            commands: COMMANDS.budget(total, memory_bytes, connections.client_connections),
+            sessions: SESSIONS.budget(total, memory_bytes, connections.clients),
             session_commit_bytes: memory_bytes / SESSION_COMMITS_DIVISOR,
             members: MemberMemory::new(
-                MEMBER_STATEMENTS.budget(memory_bytes, members),
-                RESPONSES.budget(memory_bytes, members),
+                MEMBER_STATEMENTS.budget(total, memory_bytes, members),
+                RESPONSES.budget(total, memory_bytes, members),
             ),
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/session_commits.rs
+++ b/src/state/session_commits.rs
@@ -3,17 +3,19 @@
 use crate::{GroupId, Micros, Request, Requirement, SessionInGroup, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An upper bound of the memory of one commit: an entry of a map and one of a set, in nodes that are half full.
+/// An upper bound of the memory of one commit: an entry of a map and one of a set, in nodes that are half
+/// full.
 const COMMIT_BYTES: usize = 96;
 /// The number of commits that are kept exactly where no memory limit is known.
 const DEFAULT_CAPACITY: usize = 20_000;
 
 /// The last commit of each session in each group.
 ///
-/// At most [`SessionCommits::capacity`] commits are kept exactly. When there are more, the lowest position of the
-/// group with the most commits is evicted, and becomes a lower bound for every session of that group without a
-/// commit of its own. So an evicted commit is never forgotten: the reads of its session must see it, or a later
-/// position, however long a replica lags and from however old a copy a member starts.
+/// At most [`SessionCommits::capacity`] commits are kept exactly. When there are more, the lowest
+/// position of the group with the most commits is evicted, and becomes a lower bound for every session of
+/// that group without a commit of its own. So an evicted commit is never forgotten: the reads of its
+/// session must see it, or a later position, however long a replica lags and from however old a copy a
+/// member starts.
 pub(crate) struct SessionCommits {
     capacity: usize,
     count: usize,
@@ -69,8 +71,8 @@
         }
     }
 
-    /// The position that the reads of a session must see: that of its last commit, or a later one if the commit
-    /// may have been evicted. `None` if the session is unknown (0) or has no commit.
+    /// The position that the reads of a session must see: that of its last commit, or a later one if the
+    /// commit may have been evicted. `None` if the session is unknown (0) or has no commit.
     pub(crate) fn last(&self, session: SessionInGroup) -> Option<Micros> {
         let group = self.groups.get(&session.group).filter(|_| session.session != 0)?;
         group.positions.get(&session.session).copied().max(group.evicted_position)
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -93,8 +93,8 @@
     assert_eq!(commits.last(of(0, 1)), None, "an unknown session has no commit");
 }
 
-/// Guards against a group with many writing sessions that displaces the commits of another one, whose clock is
-/// behind.
+/// Guards against a group with many writing sessions that displaces the commits of another one, whose
+/// clock is behind.
 #[test]
 fn commits_of_a_quiet_group_are_kept_while_another_group_fills_the_table() {
     let mut commits = SessionCommits::within(10_000);
