The id of a write that may have run runs no second time

Cause: the registry knew the ids of open requests only.

Change: ids of requests that must run at most once and may have run are remembered for 600 s in a 64th of the memory limit: failed, abandoned and cancelled ones, and the last served ones of a connection that ends with answers unread. They fail with 08007. A connection that floods displaces its own ids. What the reducer knows not to have been sent is forgotten.

Replaced check: id_of_a_pending_request_is_rejected demanded that a write which had failed and may have run be run again under its id (two executions), which is the fault. It now demands one execution and 08007, and that the id of a read may be used again.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -48,6 +48,8 @@
     /// If none of the session's commits is known: the time on the core's clock from which on its commits
     /// would be known, because this process has run since then.
     pub commits_known_since: Option<Micros>,
+    /// Whether the request must run at most once.
+    pub at_most_once: bool,
     /// Whether this is a retry by the client.
     pub is_retry: bool,
     /// The id that the client gave the request, which no other pending request may have; empty for none.
--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -5,7 +5,7 @@
 use crate::exchange::MemberRequest;
 use crate::pg::sqlstate;
 use crate::pg::statement::{self, StatementError, StatementFields, Timeout};
-use crate::{Micros, Requirement, Settings};
+use crate::{Idempotency, Micros, Requirement, Settings};
 use std::ops::Range;
 
 /// The greatest length of the `id` in a comment.
@@ -91,13 +91,15 @@
         if statement::first_keyword(text) != keyword {
             return Err(InvalidQuery::WrongKeyword);
         }
-        Self::from_fields(fields, class, writes)
+        let at_most_once = settings.classes[class].idempotency == Idempotency::AtMostOnce;
+        Self::from_fields(fields, class, writes, at_most_once)
     }
 
     fn from_fields(
         fields: StatementFields<'_>,
         class: usize,
         writes: bool,
+        at_most_once: bool,
     ) -> Result<ParsedQuery, InvalidQuery> {
         let external_id = fields.id.filter(|id| !id.is_empty() && id.len() <= MAX_EXTERNAL_ID_BYTES);
         let Timeout { millis, digits } = fields.timeout.ok_or(InvalidQuery::MissingTimeout)?;
@@ -111,6 +113,7 @@
             session: fields.key.map(statement::session_id).ok_or(InvalidQuery::MissingKey)?,
             required_position: fields.min_position_ms.map(from_unix_ms),
             commits_known_since: None,
+            at_most_once,
             is_retry: fields.is_retry,
             external_id: external_id.ok_or(InvalidQuery::MissingExternalId)?.to_vec(),
             timeout: from_unix_ms(millis),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -134,14 +134,23 @@
     /// failure if a member may have executed it. The router also rejects a request of a class that allows
     /// repeats after it may have been executed.
     fn rejection(&self, id: RequestId, pending: &PendingRequest<W>, retry_after: Micros) -> FinalAnswer<A> {
-        let in_flight = self.jobs.values().any(|job| job.is_attempt_of(id));
-        if in_flight || pending.first_maybe_executed_at.is_some() {
+        if self.may_have_run(id, pending) {
             FinalAnswer::Failed { maybe_executed: true }
         } else {
             FinalAnswer::Rejected { retry_after }
         }
     }
 
+    fn may_have_run(&self, id: RequestId, pending: &PendingRequest<W>) -> bool {
+        let in_flight = self.jobs.values().any(|job| job.is_attempt_of(id));
+        in_flight || pending.first_maybe_executed_at.is_some()
+    }
+
+    /// Whether a member may have executed a pending request.
+    pub fn may_have_executed(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|pending| self.may_have_run(id, pending))
+    }
+
     /// Fails a pending request, as the router has decided.
     pub(super) fn fail_request(&mut self, id: RequestId, reason: GiveUpReason) {
         if let Some(pending) = self.requests.remove(&id) {
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -1,7 +1,7 @@
 //! A client connection and the progress of its commands.
 
 use super::pipeline::{Pipeline, Queued, ReadyRequest};
-use super::{CommandStep, FrontEffect, Protocol, RequestRegistry, ServiceState};
+use super::{CommandStep, FrontEffect, Protocol, RefusedId, RequestRegistry, ServiceState};
 use crate::client::{ClientId, ParsedRequest};
 use crate::core::NewRequest;
 use crate::exchange::MemberRequest;
@@ -119,10 +119,14 @@
             let external_id = std::mem::take(&mut ready.request.external_id);
             // An external id names at most one open request; with two, a response could be matched to the
             // wrong request.
-            let Some(request_id) = registry.open(id, external_id) else {
-                self.pipeline.reply(index, duplicate_id_reply());
-                started.answered_locally = true;
-                continue;
+            let at_most_once = ready.request.at_most_once;
+            let request_id = match registry.open(now, id, external_id, at_most_once) {
+                Ok(request_id) => request_id,
+                Err(refused) => {
+                    self.pipeline.reply(index, refused_id_reply(refused));
+                    started.answered_locally = true;
+                    continue;
+                }
             };
             self.pipeline.mark_running(index, request_id);
             self.has_requested = true;
@@ -131,10 +135,16 @@
     }
 }
 
-fn duplicate_id_reply() -> Vec<u8> {
+fn refused_id_reply(refused: RefusedId) -> Vec<u8> {
+    let (sqlstate, text) = match refused {
+        RefusedId::Open => (pg::sqlstate::PROTOCOL_VIOLATION, "a request of this id is open"),
+        RefusedId::MayHaveRun => {
+            let text = "a request of this id may have run: it is not run again";
+            (pg::sqlstate::TRANSACTION_RESOLUTION_UNKNOWN, text)
+        }
+    };
     let mut bytes = Vec::new();
-    let text = "a request of this id is open";
-    pg::put_error_response(&mut bytes, "ERROR", pg::sqlstate::PROTOCOL_VIOLATION, text, None);
+    pg::put_error_response(&mut bytes, "ERROR", sqlstate, text, None);
     pg::put_ready_for_query(&mut bytes);
     bytes
 }
--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -84,7 +84,7 @@
         let mut effects = Vec::new();
         for id in self.connection_ids() {
             self.advance(registry, now, id, &mut effects);
-            self.close_if_ended(registry, id, &mut effects);
+            self.close_if_ended(registry, now, id, &mut effects);
         }
         effects
     }
@@ -163,7 +163,7 @@
             }
             // A cancel request is valid even if its connection was rejected for lack of capacity.
             ClientEvent::Startup(StartupPacket::CancelRequest { process, secret }) => {
-                self.close_connection(registry, id, ClientCloseReason::CancelRequest, &mut effects);
+                self.close_connection(registry, now, id, ClientCloseReason::CancelRequest, &mut effects);
                 self.cancel(registry, now, process, secret, &mut effects);
             }
             event if self.connections.contains_key(&id) => {
@@ -198,7 +198,7 @@
             ClientEvent::Unsupported => {
                 let sqlstate = pg::sqlstate::FEATURE_NOT_SUPPORTED;
                 let text = "only simple queries are served here".to_string();
-                self.end_connection(registry, id, ConnectionEnd::Error { sqlstate, text }, effects);
+                self.end_connection(registry, now, id, ConnectionEnd::Error { sqlstate, text }, effects);
             }
             ClientEvent::Malformed(error) => {
                 if error == ProtocolError::CommandTimeout {
@@ -206,13 +206,13 @@
                 }
                 let sqlstate = pg::sqlstate::PROTOCOL_VIOLATION;
                 let text = error.to_string();
-                self.end_connection(registry, id, ConnectionEnd::Error { sqlstate, text }, effects);
+                self.end_connection(registry, now, id, ConnectionEnd::Error { sqlstate, text }, effects);
             }
             ClientEvent::Terminate => {
-                self.end_connection(registry, id, ConnectionEnd::Terminate, effects);
+                self.end_connection(registry, now, id, ConnectionEnd::Terminate, effects);
             }
             ClientEvent::Disconnected => {
-                self.close_connection(registry, id, ClientCloseReason::ClosedByClient, effects);
+                self.close_connection(registry, now, id, ClientCloseReason::ClosedByClient, effects);
             }
         }
     }
@@ -255,7 +255,7 @@
         connection.pipeline.finish(index, |context| protocol.finish(session, context, answer));
         self.reordered_bytes += connection.pipeline.buffered_bytes() - buffered_before;
         self.advance(registry, now, id, &mut effects);
-        self.close_if_ended(registry, id, &mut effects);
+        self.close_if_ended(registry, now, id, &mut effects);
         self.close_if_idle(id, &mut effects);
         effects
     }
@@ -300,6 +300,7 @@
     fn close_connection(
         &mut self,
         registry: &mut RequestRegistry,
+        now: Micros,
         id: ClientId,
         reason: ClientCloseReason,
         effects: &mut Vec<FrontEffect>,
@@ -307,7 +308,7 @@
         let Some(connection) = self.connections.remove(&id) else { return };
         self.reordered_bytes -= connection.pipeline.buffered_bytes();
         for request in connection.pipeline.running() {
-            registry.close(request);
+            registry.abandon(request, now);
             effects.push(FrontEffect::AbandonRequest(request));
         }
         effects.push(FrontEffect::Close(id, reason));
@@ -324,7 +325,7 @@
     ) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         for request in connection.pipeline.running() {
-            registry.close(request);
+            registry.abandon(request, now);
             effects.push(FrontEffect::AbandonRequest(request));
         }
         let (protocol, session) = (&mut self.protocol, &mut connection.session);
@@ -340,6 +341,7 @@
     fn end_connection(
         &mut self,
         registry: &mut RequestRegistry,
+        now: Micros,
         id: ClientId,
         end: ConnectionEnd,
         effects: &mut Vec<FrontEffect>,
@@ -347,13 +349,14 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.end.get_or_insert(end);
         }
-        self.close_if_ended(registry, id, effects);
+        self.close_if_ended(registry, now, id, effects);
     }
 
     /// Closes a connection that has ended and has no unanswered command.
     fn close_if_ended(
         &mut self,
         registry: &mut RequestRegistry,
+        now: Micros,
         id: ClientId,
         effects: &mut Vec<FrontEffect>,
     ) {
@@ -363,10 +366,10 @@
         match connection.end.clone() {
             None => {}
             Some(ConnectionEnd::Terminate) => {
-                self.close_connection(registry, id, ClientCloseReason::ClosedByClient, effects);
+                self.close_connection(registry, now, id, ClientCloseReason::ClosedByClient, effects);
             }
             Some(ConnectionEnd::Error { sqlstate, text }) => {
-                self.close_with_error(registry, id, sqlstate, &text, effects);
+                self.close_with_error(registry, now, id, sqlstate, &text, effects);
             }
         }
     }
@@ -375,6 +378,7 @@
     fn close_with_error(
         &mut self,
         registry: &mut RequestRegistry,
+        now: Micros,
         id: ClientId,
         sqlstate: &str,
         text: &str,
@@ -387,7 +391,7 @@
             pg::sqlstate::PROTOCOL_VIOLATION => ClientCloseReason::ProtocolViolation,
             _ => ClientCloseReason::NotSupported,
         };
-        self.close_connection(registry, id, reason, effects);
+        self.close_connection(registry, now, id, reason, effects);
     }
 
     /// Cancels the first running request of the connection with this cancel key. PostgreSQL, which executes
@@ -405,7 +409,7 @@
             connections.find(|(id, connection)| process_id(**id) == process && connection.secret == secret);
         let Some((&id, connection)) = found else { return };
         let Some(request) = connection.pipeline.first_running() else { return };
-        registry.close(request);
+        registry.abandon(request, now);
         effects.push(FrontEffect::AbandonRequest(request));
         let answer = FinalAnswer::Failed { maybe_executed: true };
         effects.extend(self.answer(registry, now, id, request, answer));
--- a/src/front/connection_manager/tests.rs
+++ b/src/front/connection_manager/tests.rs
@@ -54,6 +54,7 @@
         group: GROUP,
         session,
         required_position: None,
+        at_most_once: false,
         commits_known_since: None,
         is_retry: false,
         external_id: vec![id],
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod connection_manager;
 mod effect;
+mod executed_ids;
 mod final_answer;
 mod pipeline;
 pub mod platform;
@@ -16,4 +17,4 @@
 pub use connection_manager::ConnectionManager;
 pub use effect::FrontEffect;
 pub use protocol::{CommandStep, Protocol, ServiceState};
-pub use request_registry::RequestRegistry;
+pub use request_registry::{RefusedId, RequestRegistry};
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -144,6 +144,7 @@
             group: first.group,
             session: batch.session_key,
             required_position: required_position.max(commit),
+            at_most_once: false,
             commits_known_since: has_unknown_commits.then_some(batch.commits_known_since),
             is_retry: statements.iter().any(|statement| statement.is_retry),
             // The `id` in the comment of a prepared statement is the same for every execution, so it does not
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -43,8 +43,8 @@
     }
 
     /// Creates a budget that guarantees an equal part of `guaranteed` bytes to each of `holders` holders, and
-    /// that also counts in a total of several budgets: no holder may exceed its part while that total is at its
-    /// limit.
+    /// that also counts in a total of several budgets: no holder may exceed its part while that total is
+    /// at its limit.
     pub fn within(
         total: Arc<MemoryTotal>,
         shared_limit: usize,
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -185,7 +185,11 @@
                 self.frames.push(&read_buffer[..length]);
                 true
             }
-            Err(error) => is_retryable(&error),
+            Err(error) if is_retryable(&error) => true,
+            Err(_) => {
+                self.shared.was_reset.store(true, Ordering::SeqCst);
+                false
+            }
         }
     }
 
--- a/src/net/client/handle.rs
+++ b/src/net/client/handle.rs
@@ -59,6 +59,14 @@
         unfinished.compare_exchange(0, CLOSED, Ordering::SeqCst, Ordering::SeqCst).is_ok()
     }
 
+    /// Whether the client may not have read all answers: its connection was reset, or answers are unwritten.
+    pub fn has_unread_answers(&self) -> bool {
+        let shared = &self.shared;
+        shared.was_reset.load(Ordering::SeqCst)
+            || matches!(shared.stream.take_error(), Ok(Some(_)) | Err(_))
+            || !shared.state().write_buffer.is_empty()
+    }
+
     /// Closes the connection immediately and discards unwritten bytes.
     pub fn abort(&self) {
         let _ = self.shared.stream.shutdown(Shutdown::Both);
--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -5,6 +5,7 @@
 use crate::client::{ClientId, Refusal};
 use crate::pg::ProtocolError;
 use rustix::event::epoll::{self, EventFlags};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// How long commands are still read before the process exits. The rest of the time until SIGKILL is left for
@@ -19,6 +20,9 @@
         // A client whose close is reported has disconnected, even if unread bytes precede the close. Without
         // this, the disconnect would go unnoticed while those bytes wait for capacity.
         let hung_up = flags.intersects(EventFlags::ERR | EventFlags::HUP | EventFlags::RDHUP);
+        if flags.contains(EventFlags::ERR) || !flushed.open {
+            connection.shared.was_reset.store(true, Ordering::SeqCst);
+        }
         let mut open = flushed.open && !hung_up;
         if connection.is_closing() {
             // Input after the close is discarded until the client closes the connection as well.
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -129,6 +129,8 @@
     /// The event loop may close an idle connection only if this is zero; the atomic update ensures that no
     /// request which arrives at the same time is lost.
     pub(super) unfinished_commands: AtomicUsize,
+    /// Whether the client has reset the connection, as a close with unread answers does.
+    pub(super) was_reset: AtomicBool,
     state: Mutex<ConnectionState>,
 }
 
@@ -178,6 +180,7 @@
             stream,
             reactor,
             unfinished_commands: AtomicUsize::new(0),
+            was_reset: AtomicBool::new(false),
             state: Mutex::new(state),
         }
     }
--- a/src/server/clients.rs
+++ b/src/server/clients.rs
@@ -81,6 +81,7 @@
         if closed {
             self.clients.remove(&id);
             self.fronts.remove(id);
+            self.fronts.end_client(now, id, false);
             self.count_client_close(now, id, reason);
         }
         closed
@@ -112,7 +113,8 @@
                 }
             }
             FrontEffect::Close(id, reason) => {
-                if self.clients.remove(&id).is_some() {
+                if let Some(client) = self.clients.remove(&id) {
+                    self.fronts.end_client(now, id, client.has_unread_answers());
                     self.count_client_close(now, id, reason);
                 }
             }
@@ -127,6 +129,8 @@
             FrontEffect::StartRequest(request) => self.step_reducer(now, Input::RequestReceived(request)),
             FrontEffect::RecordChange(change) => self.store.propose(change),
             FrontEffect::AbandonRequest(request) => {
+                let may_have_run = self.reducer.may_have_executed(request);
+                self.fronts.confirm_abandoned(request, may_have_run);
                 self.step_reducer(now, Input::ClientDisconnected(request));
             }
         }
--- a/src/server/fronts.rs
+++ b/src/server/fronts.rs
@@ -26,12 +26,17 @@
 impl Fronts {
     /// Creates fronts without connections. At most `max_reordered_bytes` of replies may wait for earlier
     /// replies, half of them in each front.
-    pub(super) fn new(postgres: Option<Postgres>, max_reordered_bytes: usize) -> Self {
+    /// `id_memory_bytes` limits the memory of ids that must not run again.
+    pub(super) fn new(
+        postgres: Option<Postgres>,
+        max_reordered_bytes: usize,
+        id_memory_bytes: usize,
+    ) -> Self {
         let max_reordered_bytes = max_reordered_bytes / 2;
         Fronts {
             platform: ConnectionManager::new(Platform, max_reordered_bytes),
             postgres: postgres.map(|postgres| ConnectionManager::new(postgres, max_reordered_bytes)),
-            requests: RequestRegistry::default(),
+            requests: RequestRegistry::within(id_memory_bytes),
         }
     }
 
@@ -87,9 +92,31 @@
         self.requests.external_id(request)
     }
 
-    /// Ends a request, and returns the client that sent it; `None` if the request had already ended.
-    pub(super) fn close_request(&mut self, request: RequestId) -> Option<ClientId> {
-        self.requests.close(request)
+    /// Ends a request with this answer, and returns the client that sent it; `None` if the request had
+    /// already ended.
+    pub(super) fn close_request(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        answer: &FinalAnswer<MemberResponse>,
+    ) -> Option<ClientId> {
+        match answer {
+            FinalAnswer::Served(_) => self.requests.close_served(request),
+            FinalAnswer::Failed { maybe_executed: true } => self.requests.close_maybe_executed(request, now),
+            FinalAnswer::Failed { maybe_executed: false } | FinalAnswer::Rejected { .. } => {
+                self.requests.close(request)
+            }
+        }
+    }
+
+    /// Records whether an abandoned request may have run.
+    pub(super) fn confirm_abandoned(&mut self, request: RequestId, may_have_run: bool) {
+        self.requests.confirm_abandoned(request, may_have_run);
+    }
+
+    /// Records that a client's connection has ended, and whether the client may have left answers unread.
+    pub(super) fn end_client(&mut self, now: Micros, client: ClientId, has_unread_answers: bool) {
+        self.requests.end_client(client, has_unread_answers, now);
     }
 
     /// Passes the final answer to a request to the front of its client.
--- a/src/server/memory_division.rs
+++ b/src/server/memory_division.rs
@@ -19,8 +19,9 @@
 /// All shares together may exceed the guaranteed parts while they use less than the memory limit divided by
 /// this. Without this limit, floods that each keep within one share would exceed the memory together.
 const SHARED_TOTAL_DIVISOR: usize = 8;
-/// Each table of the last commits of sessions takes at most the memory limit divided by this.
-const SESSION_COMMITS_DIVISOR: usize = 64;
+/// Each table of the last commits of sessions, and that of ids that must not run again, takes at most the
+/// memory limit divided by this.
+const TABLE_DIVISOR: usize = 64;
 
 /// The part of the memory limit for one use.
 struct Share {
@@ -46,8 +47,9 @@
     pub(super) commands: Arc<MemoryBudget>,
     /// The memory of the prepared statements and portals of clients.
     pub(super) sessions: Arc<MemoryBudget>,
-    /// The most bytes of each table of the last commits of sessions.
-    pub(super) session_commit_bytes: usize,
+    /// The most bytes of each table of the last commits of sessions, and of that of ids that must not run
+    /// again.
+    pub(super) table_bytes: usize,
     /// The memory of member connections.
     pub(super) members: MemberMemory,
 }
@@ -61,7 +63,7 @@
             buffer_bytes: memory_bytes / BUFFER_DIVISOR,
             commands: COMMANDS.budget(total, memory_bytes, connections.client_connections),
             sessions: SESSIONS.budget(total, memory_bytes, connections.clients),
-            session_commit_bytes: memory_bytes / SESSION_COMMITS_DIVISOR,
+            table_bytes: memory_bytes / TABLE_DIVISOR,
             members: MemberMemory::new(
                 MEMBER_STATEMENTS.budget(total, memory_bytes, members),
                 RESPONSES.budget(total, memory_bytes, members),
--- a/src/server/memory_division/tests.rs
+++ b/src/server/memory_division/tests.rs
@@ -19,8 +19,8 @@
     holders
 }
 
-/// Guards against limits that hold each by itself, and together exceed the memory: with as many clients as the
-/// descriptors admit, each kind of memory can be filled at the same time.
+/// Guards against limits that hold each by itself, and together exceed the memory: with as many clients
+/// as the descriptors admit, each kind of memory can be filled at the same time.
 #[test]
 fn all_that_clients_can_fill_at_the_same_time_fits_into_the_memory() {
     for (memory_bytes, descriptors) in [(32 * MIB, 256), (32 * MIB, 512), (192 * MIB, 1024)] {
@@ -34,8 +34,8 @@
             fill(&division.members.responses, members),
         ];
         let held_bytes: usize = held.iter().flatten().map(HeldBytes::bytes).sum();
-        let commits = 2 * division.session_commit_bytes;
-        let all = held_bytes + commits + BUFFER_KINDS * division.buffer_bytes + BASE_BYTES;
+        let tables = 3 * division.table_bytes;
+        let all = held_bytes + tables + BUFFER_KINDS * division.buffer_bytes + BASE_BYTES;
         assert!(all <= memory_bytes, "{all} bytes of {memory_bytes}, {descriptors} descriptors");
     }
 }
--- a/src/server/reducer_effects.rs
+++ b/src/server/reducer_effects.rs
@@ -126,7 +126,7 @@
     }
 
     fn answer_request(&mut self, now: Micros, request: RequestId, answer: FinalAnswer<MemberResponse>) {
-        if let Some(id) = self.fronts.close_request(request) {
+        if let Some(id) = self.fronts.close_request(now, request, &answer) {
             let extended = self.clients.get(&id).is_some_and(|client| client.extended);
             let effects = self.fronts.answer(now, id, extended, request, answer);
             self.apply_front_effects(now, effects);
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -142,7 +142,7 @@
             DescriptorBudget::new(config.max_descriptors, config.admin_listen.is_some(), inherited_listener);
         let memory = MemoryDivision::new(config.memory_bytes, &budget);
         let settings = Arc::new(config.settings.clone());
-        let commit_bytes = memory.session_commit_bytes;
+        let commit_bytes = memory.table_bytes;
         let new_front = |listen| {
             let limits = PostgresLimits { session_memory: memory.sessions.clone(), commit_bytes };
             Postgres::new(listen, settings.clone(), limits, clock.now())
@@ -165,7 +165,7 @@
         let server = Server {
             clock,
             reducer,
-            fronts: Fronts::new(postgres, memory.buffer_bytes),
+            fronts: Fronts::new(postgres, memory.buffer_bytes, memory.table_bytes),
             settings,
             store,
             client_reactor,
--- a/tests/proxy/platform/messages.rs
+++ b/tests/proxy/platform/messages.rs
@@ -106,6 +106,13 @@
     let mut other = proxy.connect();
     assert_eq!(other.query(&write_query(7, 900)), "E(08P01) Z");
     assert_eq!(client.read_reply(), "E(08007) Z");
-    assert_eq!(other.query(&write_query(7, 900)), SERVED, "the id may be used again");
-    assert_eq!(primary.executed_count(), 2);
+    assert_eq!(other.query(&write_query(7, 900)), "E(08007) Z", "the write may have run");
+    assert_eq!(primary.executed_count(), 1);
+    primary.plan(&[MemberBehavior::HangOn(b'Q')]);
+    client.send(&simple_query(&read_query(8)));
+    primary.wait_for(MemberEvent::Hanging);
+    assert_eq!(other.query(&read_query(8)), "E(08P01) Z");
+    assert_eq!(client.read_reply(), "E(08007) Z");
+    assert_eq!(other.query(&read_query(8)), SERVED, "the id of a read may be used again");
+    assert_eq!(primary.executed_count(), 3);
 }
--- a/tests/proxy/races/clients.rs
+++ b/tests/proxy/races/clients.rs
@@ -201,3 +201,60 @@
     assert!(received.iter().all(|message| !message.contains("id=2,")), "{case}: {received:?}");
     assert_eq!(replica.executed_count(), 1, "{case}: only the first attempt or the other request");
 }
+
+/// Guards against a write that runs a second time because its id comes again: after its client has left, after its
+/// time, after a cancel request, and where the client has left with the answer unread.
+#[test]
+fn id_of_a_write_that_may_have_run_does_not_run_again() {
+    for ending in ["left", "failed", "cancelled", "unread"] {
+        let primary = MockMember::start(true);
+        let proxy = Proxy::start_with_shell(&[&primary], &shell_without_probes(""), "");
+        assert_eq!(proxy.connect().query(&write_query(1, 900)), SERVED);
+        primary.plan(&[MemberBehavior::HoldReply("late")]);
+        let mut client = proxy.connect();
+        client.send(&simple_query(&write_query(2, if ending == "failed" { 300 } else { 9000 })));
+        primary.wait_for(MemberEvent::ReplyHeld);
+        match ending {
+            "left" => drop(client),
+            "failed" => assert_eq!(client.read_reply(), "E(08007) Z"),
+            "cancelled" => {
+                let _cancel = client.send_cancel_to(proxy.address);
+                assert_eq!(client.read_reply(), "E(08007) Z");
+            }
+            _ => {
+                primary.release_replies(1);
+                wait_for_counter(&proxy, "pending=0");
+                while client.stream.peek(&mut [0]).unwrap() == 0 {}
+                drop(client);
+            }
+        }
+        wait_for_counter(&proxy, "pending=0");
+        let mut again = proxy.connect();
+        for _ in 0..2 {
+            assert_eq!(again.query(&write_query(2, 900)), "E(08007) Z", "{ending}");
+        }
+        assert_eq!(again.query(&write_query(3, 900)), SERVED, "{ending}: another id");
+        let runs = primary.executed().iter().filter(|text| text.contains("id=2,")).count();
+        assert_eq!(runs, 1, "{ending}");
+    }
+}
+
+/// Guards against a write that never runs because its id was used before, though nothing has run under it.
+#[test]
+fn id_of_a_write_that_has_not_run_may_come_again() {
+    let primary = MockMember::start(true);
+    let proxy = Proxy::start_with_shell(&[&primary], &shell_without_probes(""), "");
+    assert_eq!(proxy.connect().query(&write_query(1, 900)), SERVED);
+    primary.plan(&[MemberBehavior::ServeError("53300"); 8]);
+    assert_eq!(proxy.connect().query(&write_query(2, 300)), "E(53300) Z");
+    primary.reset_record();
+    assert_eq!(proxy.connect().query(&write_query(2, 900)), SERVED, "rejected before");
+    // The write that waits behind another one of its connection has not been sent when the client leaves.
+    primary.plan(&[MemberBehavior::HoldReply("late")]);
+    let mut client = proxy.connect();
+    client.send(&[simple_query(&write_query(3, 9000)), simple_query(&write_query(4, 9000))].concat());
+    primary.wait_for(MemberEvent::ReplyHeld);
+    drop(client);
+    wait_for_counter(&proxy, "pending=0");
+    assert_eq!(proxy.connect().query(&write_query(4, 900)), SERVED, "never sent before");
+}
