--- a/src/front/executed_ids.rs
+++ b/src/front/executed_ids.rs
@@ -16,8 +16,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct IdHash(u64);
 
-/// The remembered ids. When there are too many, the oldest one of the connection with the most is dropped, so that a
-/// client that sends ever new ids displaces its own.
+/// The remembered ids. When there are too many, the oldest one of the connection with the most is dropped, so
+/// that a client that sends ever new ids displaces its own.
 pub struct ExecutedIds {
     capacity: usize,
     hasher: RandomState,
