--- a/src/front/connection_manager/closing.rs
+++ b/src/front/connection_manager/closing.rs
@@ -1,5 +1,5 @@
-//! How connections end: idle ones that are closed, those of clients that leave, and those that end with a last
-//! message of the client.
+//! How connections end: idle ones that are closed, those of clients that leave, and those that end with a
+//! last message of the client.
 
 use super::{ConnectionManager, process_id};
 use crate::Micros;
