A rejection by an idle endpoint is no queueing delay, and sheds no other request

Callers saw: writes that no member had got were refused ("shed", 0 attempts) at an idle primary that answers in 12 ms, because it had turned others away.

Cause: each rejection counted as a queueing delay of the whole latency objective. One in four lifts the average to 0.25, above the 0.15 from which requests are shed.

Change: a rejection counts so only if it shows load: all routers together have at least one attempt outstanding at the endpoint on average over about 10 s (Little's law: a full queue holds many), or it is the fourth in a row. What other routers send is estimated from `instances`. Anything else is decided as before.

--- a/src/estimators/mod.rs
+++ b/src/estimators/mod.rs
@@ -4,6 +4,7 @@
 mod failure_rate;
 mod group_clock;
 mod latency_baseline;
+mod occupancy;
 mod queueing_delay;
 mod rate;
 mod replication;
@@ -15,6 +16,7 @@
 pub(crate) use failure_rate::FailureRate;
 pub(crate) use group_clock::{GroupClock, PrimaryPosition};
 pub(crate) use latency_baseline::LatencyBaselines;
+pub(crate) use occupancy::Occupancy;
 pub(crate) use queueing_delay::{GroupQueueingDelay, QueueingDelay};
 pub(crate) use rate::DecayingRate;
 pub(crate) use replication::ReplicationEstimate;
--- a/src/estimators/tests.rs
+++ b/src/estimators/tests.rs
@@ -69,3 +69,28 @@
     assert_eq!(replication.known_position(clock, 10 * SECOND), 9 * SECOND);
     assert_eq!(replication.observed_at(), 10 * SECOND);
 }
+
+#[test]
+fn occupancy_is_the_average_of_outstanding_attempts_over_time() {
+    let mut occupancy = Occupancy::default();
+    let mut now = SECOND;
+    // An attempt of 100 ms every second.
+    for _ in 0..100 {
+        occupancy.record(0, now);
+        now += SECOND / 10;
+        occupancy.record(1, now);
+        now += SECOND * 9 / 10;
+    }
+    assert!((0.08..0.12).contains(&occupancy.average()), "{}", occupancy.average());
+    // Four attempts are outstanding all the time.
+    occupancy.record(4, now + 60 * SECOND);
+    assert!((3.9..=4.0).contains(&occupancy.average()), "{}", occupancy.average());
+}
+
+#[test]
+fn the_first_attempt_alone_is_not_the_average_occupancy() {
+    let mut occupancy = Occupancy::default();
+    occupancy.record(0, SECOND);
+    occupancy.record(1, SECOND + SECOND / 100);
+    assert!(occupancy.average() < 0.01, "{}", occupancy.average());
+}
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -34,6 +34,11 @@
 /// with several attempts at each endpoint can rely on the concurrency limits; one with fewer than one can
 /// only shed.
 const SHED_RELIEF: f64 = 2.0;
+/// The average number of attempts of all routers at an endpoint below which the endpoint is idle most of the
+/// time: it serves at least one request at a time, so its queue is empty then.
+const IDLE_OCCUPANCY: f64 = 1.0;
+/// The number of rejections in a row from which an endpoint counts as full, however few attempts it holds.
+const REJECTIONS_OF_FULL_ENDPOINT: u32 = 4;
 /// The share of the concurrency limit that requests of the lowest priority may use. The rest is reserved for
 /// requests of higher priority.
 const LIMIT_SHARE_MIN: f64 = 0.5;
@@ -88,6 +93,21 @@
         self.traffic.baselines.unloaded_latency(class)
     }
 
+    /// Returns whether an endpoint that has rejected an attempt as if its queue was full probably has room for
+    /// the next one: it answers most attempts, and all routers together keep it less than busy.
+    ///
+    /// A rejection by such an endpoint is no queueing delay. Otherwise a few rejections at an idle endpoint
+    /// would make the routers shed requests that the endpoint could serve.
+    ///
+    /// The attempts of the other routers are estimated from those of this one. By Little's law, their average
+    /// number rises both with the rate of requests and with the time that they spend in the queue, so that
+    /// an endpoint with a full queue is never taken for an idle one.
+    pub(super) fn rejects_by_chance(&self, index: EndpointIndex) -> bool {
+        let endpoint = &self.topology[index];
+        let of_all_routers = endpoint.occupancy.average() * f64::from(self.settings.instances.max(1));
+        of_all_routers < IDLE_OCCUPANCY && endpoint.rejections_in_a_row < REJECTIONS_OF_FULL_ENDPOINT
+    }
+
     /// Records the latency of an attempt and adapts the concurrency limit of its endpoint.
     ///
     /// `elapsed` is `None` for an attempt that was not answered or was rejected. It counts as a delay of the
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -10,7 +10,8 @@
     pub(crate) fn on_attempt_ended(&mut self, result: AttemptResult) {
         let Some(index) = self.topology.find(result.endpoint) else { return };
         let endpoint = &mut self.topology[index];
-        let Some(attempt) = endpoint.take_outstanding(result.request, result.attempt) else { return };
+        let taken = endpoint.take_outstanding(result.request, result.attempt, self.now);
+        let Some(attempt) = taken else { return };
         let group = endpoint.group;
         let primary_before = self.topology.primary(group);
         // Read before this attempt's latency is recorded, which may change the unloaded latency.
@@ -46,7 +47,9 @@
             // attempt without queueing, so its load did not cause the loss.
             Outcome::TimedOut if self.is_lost(index, attempt) => self.record_failure(index, Failure::Lost),
             Outcome::TimedOut | Outcome::RejectedByMember => {
-                self.record_latency(index, attempt, None);
+                if result.outcome == Outcome::TimedOut || !self.rejects_by_chance(index) {
+                    self.record_latency(index, attempt, None);
+                }
                 let endpoint = &mut self.topology[index];
                 let has_answered = endpoint.last_answer_at >= attempt.sent_at;
                 if !has_answered && attempt.sent_at >= self.resumed_at {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -163,7 +163,7 @@
         endpoint.last_sent_at = self.now;
         endpoint.next_trial_at = endpoint.next_trial_at.max(self.now + health::TRIAL_INTERVAL);
         let sent_at = self.now;
-        endpoint.outstanding.push(OutstandingAttempt { request: id, attempt, class, session, sent_at });
+        endpoint.add_outstanding(OutstandingAttempt { request: id, attempt, class, session, sent_at });
         self.actions.push(Action::Send { request: id, endpoint: endpoint.id, timeout, start_within });
     }
 
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,7 +1,7 @@
 //! The router's state of one endpoint.
 
 use super::PerRole;
-use crate::estimators::{FailureRate, QueueingDelay, ReplicationEstimate};
+use crate::estimators::{FailureRate, Occupancy, QueueingDelay, ReplicationEstimate};
 use crate::{Class, EndpointEntry, EndpointId, EndpointState, GroupId, Micros, Outcome, RequestId};
 use std::fmt;
 
@@ -75,6 +75,11 @@
     pub(crate) start_listed_at: Micros,
 
     pub(crate) outstanding: Vec<OutstandingAttempt>,
+    /// The average number of outstanding attempts.
+    pub(crate) occupancy: Occupancy,
+    /// The number of attempts that the endpoint has rejected, because its queue was full, since it last
+    /// answered one.
+    pub(crate) rejections_in_a_row: u32,
     pub(crate) last_sent_at: Micros,
     /// The router-wide sequence number of the last attempt sent to the endpoint; a random number below all
     /// sequence numbers before the first attempt.
@@ -146,14 +151,22 @@
         self.outstanding.iter().filter(may_be_answered).count()
     }
 
+    /// Adds an attempt that is sent now.
+    pub(crate) fn add_outstanding(&mut self, attempt: OutstandingAttempt) {
+        self.occupancy.record(self.outstanding.len(), attempt.sent_at);
+        self.outstanding.push(attempt);
+    }
+
     /// Removes an attempt that has ended, and returns it if it was outstanding.
     pub(crate) fn take_outstanding(
         &mut self,
         request: RequestId,
         attempt: u32,
+        now: Micros,
     ) -> Option<OutstandingAttempt> {
         let is_same = |other: &OutstandingAttempt| other.request == request && other.attempt == attempt;
         let index = self.outstanding.iter().position(is_same)?;
+        self.occupancy.record(self.outstanding.len(), now);
         Some(self.outstanding.swap_remove(index))
     }
 
@@ -162,9 +175,14 @@
         match outcome {
             Outcome::Ok | Outcome::NotServable => {
                 self.last_answer_at = now;
+                self.rejections_in_a_row = 0;
                 self.record_contact(now);
             }
-            Outcome::Error => self.last_answer_at = now,
+            Outcome::Error => {
+                self.last_answer_at = now;
+                self.rejections_in_a_row = 0;
+            }
+            Outcome::RejectedByMember => self.rejections_in_a_row += 1,
             _ => {}
         }
     }
--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -32,6 +32,49 @@
     }
 }
 
+/// Guards against the refusal of writes that nothing has run because an idle primary has rejected others: each
+/// rejection counted as a queueing delay of the whole latency objective.
+#[test]
+fn rejections_by_an_idle_primary_shed_no_other_write() {
+    let mut harness = RouterHarness::with_known_roles(settings(), 3);
+    for id in 1..=200 {
+        harness.advance(50 * MS);
+        assert_eq!(sent_to(&harness.request(id, AT_MOST_ONCE)), Some(1), "write {id} is sent immediately");
+        if id % 3 == 0 {
+            harness.advance(MS);
+            harness.end_attempt(id, 0, 1, Outcome::RejectedByMember, Some(Role::Primary));
+            harness.handle(Event::ClientDisconnected(id));
+        } else {
+            harness.advance(12 * MS);
+            harness.end_attempt(id, 0, 1, Outcome::Ok, Some(Role::Primary));
+        }
+    }
+}
+
+/// Guards against sparing a primary whose queue is full: it holds several attempts all the time, and its
+/// rejections show overload.
+#[test]
+fn rejections_by_a_busy_primary_shed_writes() {
+    let mut harness = RouterHarness::with_known_roles(settings(), 3);
+    let mut rejected = 0;
+    let mut held = std::collections::VecDeque::new();
+    for id in 1..=400 {
+        harness.advance(10 * MS);
+        let actions = harness.request(id, AT_MOST_ONCE);
+        rejected += usize::from(is_rejected(&actions, id));
+        if sent_to(&actions).is_some() && id % 2 == 0 {
+            harness.end_attempt(id, 0, 1, Outcome::RejectedByMember, Some(Role::Primary));
+            harness.handle(Event::ClientDisconnected(id));
+        } else if sent_to(&actions).is_some() {
+            held.push_back(id);
+        }
+        if held.len() > 3 {
+            harness.end_attempt(held.pop_front().unwrap(), 0, 1, Outcome::Ok, Some(Role::Primary));
+        }
+    }
+    assert!(rejected > 100, "{rejected} of 400 writes are shed");
+}
+
 #[test]
 fn requests_beyond_capacity_are_rejected_immediately() {
     let mut harness = RouterHarness::with_known_roles(settings(), 2);
