An endpoint is ejected for rejections only if it does nothing else, and under that cause

Callers saw: writes held, and refused at their deadline, because an idle primary that rejects some attempts was ejected ("no answer"), and all requests of a group refused where the list had dropped a member by mistake and that member rejected one attempt.

Cause: a rejection counted as no answer whenever nothing had been answered since its send, which holds for nearly every rejection. Four in a row ejected a primary; one put a member that is listed as removed down.

Change: the eighth rejection in a row and those after it are failures, with the cause "rejections"; any answer ends the row. The same number tells for admission that an endpoint serves nothing (four before). A timeout is recorded as before.

Measured, all red on: `a_primary_that_rejects_some_attempts_is_not_ejected` (write 6 has no primary), `an_endpoint_that_only_rejects_ is_ejected_for_its_rejections`, `one_rejection_does_not_take_an_endpoint_listed_as_removed_out_of_service`.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -37,8 +37,8 @@
 /// The average number of attempts of all routers at an endpoint below which the endpoint is idle most of the
 /// time: it serves at least one request at a time, so its queue is empty then.
 const IDLE_OCCUPANCY: f64 = 1.0;
-/// The number of rejections in a row from which an endpoint counts as full, however few attempts it holds.
-const REJECTIONS_OF_FULL_ENDPOINT: u32 = 4;
+/// The number of rejections in a row from which an endpoint serves no attempt at present.
+const REJECTIONS_IN_A_ROW_MAX: u32 = 8;
 /// The share of the concurrency limit that requests of the lowest priority may use. The rest is reserved for
 /// requests of higher priority.
 const LIMIT_SHARE_MIN: f64 = 0.5;
@@ -105,7 +105,12 @@
     pub(super) fn rejects_by_chance(&self, index: EndpointIndex) -> bool {
         let endpoint = &self.topology[index];
         let of_all_routers = endpoint.occupancy.average() * f64::from(self.settings.instances.max(1));
-        of_all_routers < IDLE_OCCUPANCY && endpoint.rejections_in_a_row < REJECTIONS_OF_FULL_ENDPOINT
+        of_all_routers < IDLE_OCCUPANCY && !self.rejects_all(index)
+    }
+
+    /// Returns whether an endpoint has rejected so many attempts in a row that it serves none at present.
+    pub(super) fn rejects_all(&self, index: EndpointIndex) -> bool {
+        self.topology[index].rejections_in_a_row >= REJECTIONS_IN_A_ROW_MAX
     }
 
     /// Records the latency of an attempt and adapts the concurrency limit of its endpoint.
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -46,17 +46,8 @@
             // A lost attempt counts as a failure, not as a queueing delay: the endpoint has answered a later
             // attempt without queueing, so its load did not cause the loss.
             Outcome::TimedOut if self.is_lost(index, attempt) => self.record_failure(index, Failure::Lost),
-            Outcome::TimedOut | Outcome::RejectedByMember => {
-                if result.outcome == Outcome::TimedOut || !self.rejects_by_chance(index) {
-                    self.record_latency(index, attempt, None);
-                }
-                let endpoint = &mut self.topology[index];
-                let has_answered = endpoint.last_answer_at >= attempt.sent_at;
-                if !has_answered && attempt.sent_at >= self.resumed_at {
-                    endpoint.down |= endpoint.state == EndpointState::Removed;
-                    self.record_failure(index, Failure::NoAnswer);
-                }
-            }
+            Outcome::TimedOut => self.record_timeout(index, attempt),
+            Outcome::RejectedByMember => self.record_rejection(index, attempt),
             Outcome::NotServable => self.record_not_servable(index, attempt),
             // A local error shows nothing about the endpoint, so its trial is due again immediately.
             Outcome::LocalError => self.topology[index].next_trial_at = self.now,
@@ -64,6 +55,41 @@
         }
     }
 
+    /// Records an attempt that timed out: a queueing delay, and a failure if the endpoint has answered nothing
+    /// since the attempt was sent.
+    fn record_timeout(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
+        self.record_latency(index, attempt, None);
+        if self.topology[index].last_answer_at < attempt.sent_at {
+            self.record_unavailable(index, attempt, Failure::NoAnswer);
+        }
+    }
+
+    /// Records an attempt that the endpoint has rejected: a queueing delay unless the endpoint has room for
+    /// more, and a failure if the endpoint does nothing but reject.
+    ///
+    /// An endpoint that hangs with a full queue rejects each attempt immediately, so that it looks idle. A few
+    /// rejections, on the other hand, must not eject an endpoint that answers the other attempts.
+    fn record_rejection(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
+        if !self.rejects_by_chance(index) {
+            self.record_latency(index, attempt, None);
+        }
+        if self.rejects_all(index) {
+            self.record_unavailable(index, attempt, Failure::Rejections);
+        }
+    }
+
+    /// Records that an endpoint does not serve requests at present. An endpoint that is listed as removed
+    /// counts as down.
+    fn record_unavailable(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, failure: Failure) {
+        // An attempt that was sent before this process was suspended shows nothing about the endpoint.
+        if attempt.sent_at < self.resumed_at {
+            return;
+        }
+        let endpoint = &mut self.topology[index];
+        endpoint.down |= endpoint.state == EndpointState::Removed;
+        self.record_failure(index, failure);
+    }
+
     /// Records the commit of a served write, which later reads of its session must see. This does not depend
     /// on the request: it may have had its final answer, or its client may have disconnected.
     fn record_commit(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -26,6 +26,8 @@
     NoConnection,
     /// The endpoint has answered nothing since the attempt was sent.
     NoAnswer,
+    /// The endpoint has rejected this attempt and those before it because its queue was full.
+    Rejections,
 }
 
 impl fmt::Display for Failure {
@@ -35,6 +37,7 @@
             Failure::Lost => "lost requests",
             Failure::NoConnection => "no connection",
             Failure::NoAnswer => "no answer",
+            Failure::Rejections => "rejections",
         })
     }
 }
--- a/tests/policy/health.rs
+++ b/tests/policy/health.rs
@@ -168,3 +168,45 @@
     assert_eq!(ejections(900 * MS), 0, "the router was suspended, so no endpoint is ejected");
     assert!(ejections(0) > 0, "the same outcomes without a suspension eject endpoints");
 }
+
+/// Guards against the ejection of a primary that rejects some attempts: writes would wait for its next trial.
+#[test]
+fn a_primary_that_rejects_some_attempts_is_not_ejected() {
+    let mut harness = RouterHarness::with_known_roles(settings(), 3);
+    for id in 1..=60 {
+        harness.advance(50 * MS);
+        assert_eq!(sent_to(&harness.request(id, AT_MOST_ONCE)), Some(1), "write {id}");
+        // Two writes are served, then five are rejected.
+        let outcome = if id % 7 < 2 { Outcome::Ok } else { Outcome::RejectedByMember };
+        harness.advance(MS);
+        harness.end_attempt(id, 0, 1, outcome, Some(Role::Primary));
+        harness.handle(Event::ClientDisconnected(id));
+    }
+    let is_ejection = |action: &&Action| matches!(action, Action::EndpointEjected { .. });
+    assert_eq!(harness.log.iter().find(is_ejection), None);
+}
+
+/// Guards against a wrong cause in the log: an endpoint that only rejects does answer.
+#[test]
+fn an_endpoint_that_only_rejects_is_ejected_for_its_rejections() {
+    let mut harness = RouterHarness::with_known_roles(settings(), 4);
+    serve_reads(&mut harness, 1..200, 3, Outcome::RejectedByMember);
+    let ejected = Action::EndpointEjected { endpoint: EndpointId(3), cause: "rejections".into() };
+    assert!(harness.log.contains(&ejected), "{:?}", harness.log);
+}
+
+/// Guards against taking an endpoint that the list has dropped by mistake out of service, because it has
+/// rejected one attempt.
+#[test]
+fn one_rejection_does_not_take_an_endpoint_listed_as_removed_out_of_service() {
+    let settings = Settings { removed_endpoints_usable: true, ..settings() };
+    let mut harness = RouterHarness::with_known_roles(settings, 1);
+    harness.request(1, AT_MOST_ONCE);
+    harness.end_attempt(1, 0, 1, Outcome::Ok, Some(Role::Primary));
+    update_state(&mut harness, 1, EndpointState::Removed);
+    harness.advance(50 * MS);
+    assert_eq!(sent_to(&harness.request(2, AT_MOST_ONCE)), Some(1));
+    harness.advance(MS);
+    harness.end_attempt(2, 0, 1, Outcome::RejectedByMember, Some(Role::Primary));
+    assert_eq!(sent_to(&harness.request(3, AT_MOST_ONCE)), Some(1), "still in use");
+}
