A request that an idle endpoint rejects waits for the retry budget, at a lower cost

Callers saw: writes that no member had run refused for "retry_budget" with nearly 5 s left, since other requests had been turned away.

Cause: each rejection cost a whole retry of a budget of 0.2 for each request. Where one attempt in four is rejected, a third of a retry is needed for each, so the budget is always empty, and an empty budget ended the request.

A rejection costs less only where answers come in between, so there are at most as many such retries as answers, over all routers.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 mod probing;
 mod replicas;
 mod requests;
+mod retries;
 mod slow_start;
 
 use crate::Router;
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -33,6 +33,13 @@
 
     /// Records what an outcome shows about the health and the load of the endpoint.
     fn record_outcome(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
+        match result.outcome {
+            Outcome::Ok | Outcome::NotServable | Outcome::Error => {
+                self.topology.record_rejection(index, false);
+            }
+            Outcome::RejectedByMember => self.topology.record_rejection(index, true),
+            _ => {}
+        }
         match result.outcome {
             Outcome::Ok => {
                 self.traffic.served[attempt.class].record(self.now);
@@ -147,18 +154,16 @@
         if outcome != Outcome::Error || class.role() == Role::Replica {
             pending.tried.push(index);
         }
-        let cost = match outcome {
-            Outcome::NotServable | Outcome::NeverSent => 0.0,
-            // Lost writes that must not run again are given up, not retried. If they were charged, they would
-            // use up the retries of reads.
-            _ if pending.must_not_run_again(class) => 0.0,
-            Outcome::RejectedByMember => 1.0,
-            _ => (result.elapsed as f64 / unloaded).min(1.0),
-        };
+        // Lost writes that must not run again are given up, not retried. If they were charged, they would use
+        // up the retries of reads.
+        let is_free = pending.must_not_run_again(class);
         if result.finished {
             self.finish(result.request);
+        } else if outcome == Outcome::RejectedByMember && self.rejects_by_chance(index) {
+            self.retry_rejected_by_chance(result.request, index);
         } else {
-            self.retry(result.request, cost);
+            let cost = Router::retry_cost(outcome, result.elapsed, unloaded);
+            self.retry(result.request, if is_free { 0.0 } else { cost });
         }
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -12,9 +12,6 @@
 };
 use crate::state::{EndpointIndex, OutstandingAttempt, PendingRequest};
 
-/// The number of retries that each request adds to the retry budget, which accumulates at most the retries of
-/// one second of requests. Without a budget, retries would multiply the load on endpoints that fail.
-const RETRIES_PER_REQUEST: f64 = 0.2;
 /// The probability that a request which is a retry by the client still meets the latency objective, which
 /// counts from the client's first attempt.
 const RETRY_ON_TIME_CHANCE: f64 = 0.3;
@@ -39,8 +36,7 @@
     pub(crate) fn on_request(&mut self, request: Request) {
         let shed_draw = self.random.fraction();
         self.traffic.arrivals.record(self.now);
-        let retries_per_second = self.traffic.arrivals.per_second_at(self.now) * RETRIES_PER_REQUEST;
-        self.retry_budget = (self.retry_budget + RETRIES_PER_REQUEST).min(retries_per_second.max(1.0));
+        self.add_to_retry_budget();
         self.trial_budget = (self.trial_budget + health::TRIAL_SHARE).min(1.0);
         let Some(class) = self.settings.classes.get(request.class) else {
             let reason = GiveUpReason::UnknownClass;
@@ -76,6 +72,11 @@
         if let Err(reason) = self.check_may_send(pending) {
             return self.give_up(id, reason);
         }
+        match self.pay_for_deferred_retry(id) {
+            Ok(true) => {}
+            Ok(false) => return self.hold(id),
+            Err(reason) => return self.give_up(id, reason),
+        }
         let selection = match self.settings.classes[class].role() {
             Role::Primary => self.select_primary(id),
             Role::Replica => self.select_replica(id),
@@ -209,19 +210,9 @@
         }
     }
 
-    /// Retries a request whose attempt failed, if the retry budget covers the cost of the retry; otherwise
-    /// gives the request up.
-    pub(super) fn retry(&mut self, id: RequestId, cost: f64) {
-        if self.retry_budget < cost {
-            return self.give_up(id, GiveUpReason::RetryBudget);
-        }
-        self.retry_budget -= cost;
-        self.advance(id);
-    }
-
     /// Gives the final answer to a request that is not served: a rejection, with a randomly spread retry
     /// delay, if the client may safely retry, and a failure otherwise.
-    fn give_up(&mut self, id: RequestId, reason: GiveUpReason) {
+    pub(super) fn give_up(&mut self, id: RequestId, reason: GiveUpReason) {
         let Some(pending) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[pending.request.class];
         let has_not_run = pending.first_run_at.is_none() && pending.in_flight.is_none();
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -178,14 +178,9 @@
         match outcome {
             Outcome::Ok | Outcome::NotServable => {
                 self.last_answer_at = now;
-                self.rejections_in_a_row = 0;
                 self.record_contact(now);
             }
-            Outcome::Error => {
-                self.last_answer_at = now;
-                self.rejections_in_a_row = 0;
-            }
-            Outcome::RejectedByMember => self.rejections_in_a_row += 1,
+            Outcome::Error => self.last_answer_at = now,
             _ => {}
         }
     }
--- a/src/state/group.rs
+++ b/src/state/group.rs
@@ -16,6 +16,9 @@
     /// No request starts a search for the primary before this time.
     pub(crate) next_search_at: Micros,
     pub(crate) queueing_delay: PerRole<GroupQueueingDelay>,
+    /// The number of attempts that members of a role have rejected, because their queues were full, since the
+    /// last one that a member of that role answered.
+    pub(crate) rejections_in_a_row: PerRole<u32>,
     /// The estimate of the group's clock; `None` before the first report of a primary.
     pub(crate) clock: Option<GroupClock>,
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use endpoint::{Endpoint, Failure, OutstandingAttempt, SlowStartBudget};
 pub(crate) use endpoint_table::EndpointIndex;
 pub(crate) use group::Group;
-pub(crate) use pending_request::PendingRequest;
+pub(crate) use pending_request::{DeferredRetry, PendingRequest};
 pub(crate) use per_role::PerRole;
 pub(crate) use probe_schedule::{ProbeSchedule, ProbeTimes};
 pub(crate) use serving_capacity::ServingCapacity;
--- a/src/state/pending_request.rs
+++ b/src/state/pending_request.rs
@@ -3,6 +3,15 @@
 use super::EndpointIndex;
 use crate::{Class, Idempotency, Micros, Request, Requirement};
 
+/// A retry that waits until the retry budget covers it.
+#[derive(Clone, Copy)]
+pub(crate) struct DeferredRetry {
+    /// What the retry costs of the retry budget.
+    pub(crate) cost: f64,
+    /// The endpoint that has rejected the last attempt.
+    pub(crate) rejected_by: EndpointIndex,
+}
+
 /// A request without a final answer.
 #[derive(Default)]
 pub(crate) struct PendingRequest {
@@ -34,6 +43,8 @@
     /// The number of endpoints that the request was sent to in this round in search of the primary.
     pub(crate) search_attempts: u32,
 
+    /// The next attempt, if the retry budget has yet to pay for it.
+    pub(crate) deferred_retry: Option<DeferredRetry>,
     /// When the held request is reconsidered; `None` if the request is not held.
     pub(crate) held_until: Option<Micros>,
     /// The request is not sent to a primary before this time.
--- a/src/state/topology.rs
+++ b/src/state/topology.rs
@@ -351,6 +351,23 @@
         }
     }
 
+    /// Records whether an endpoint has rejected an attempt, because its queue was full, or has answered it.
+    pub(crate) fn record_rejection(&mut self, index: EndpointIndex, is_rejected: bool) {
+        let role = self.role(index);
+        let next = |in_a_row: u32| if is_rejected { in_a_row.saturating_add(1) } else { 0 };
+        let endpoint = &mut self.endpoints[index];
+        endpoint.rejections_in_a_row = next(endpoint.rejections_in_a_row);
+        if let Some(group) = self.groups.get_mut(&endpoint.group) {
+            group.rejections_in_a_row[role] = next(group.rejections_in_a_row[role]);
+        }
+    }
+
+    /// The number of attempts in a row that the members with the role and the group of this endpoint have
+    /// rejected.
+    pub(crate) fn rejections_in_a_row(&self, index: EndpointIndex) -> u32 {
+        self.groups[&self[index].group].rejections_in_a_row[self.role(index)]
+    }
+
     /// The expected queueing delay of an attempt at endpoints with the same role and group as this endpoint,
     /// as a share of its latency objective.
     pub(crate) fn expected_delay(&self, index: EndpointIndex, now: Micros) -> f64 {
--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -121,6 +121,57 @@
     assert!(attempts <= 40, "{attempts} for 30 requests");
 }
 
+/// A primary that has held so many writes for a second and now rejects write 100, and a retry budget that is
+/// used up by reads.
+fn harness_with_rejected_write_and_empty_budget(held_writes: u32) -> RouterHarness {
+    let mut harness = RouterHarness::with_known_roles(settings(), 6);
+    // The primary answers, so that its rejection is not the first of a row.
+    harness.request(1, AT_MOST_ONCE);
+    harness.advance(12 * MS);
+    harness.end_attempt(1, 0, 1, Outcome::Ok, Some(Role::Primary));
+    for id in 200..200 + held_writes {
+        harness.request(id, AT_MOST_ONCE);
+    }
+    harness.advance(1000 * MS);
+    // Lost reads cost the budget a whole retry each, and are given up once it is used up.
+    for id in 2..20 {
+        let Some(to) = sent_to(&harness.request(id, ANY)) else { continue };
+        let lost = AttemptResult { elapsed: 300 * MS, ..attempt_result(id, 0, to, Outcome::Reset) };
+        harness.handle(Event::AttemptEnded(lost));
+        harness.handle(Event::ClientDisconnected(id));
+    }
+    harness.log.clear();
+    assert_eq!(sent_to(&harness.request(100, AT_MOST_ONCE)), Some(1));
+    harness.advance(MS / 2);
+    harness.end_attempt(100, 0, 1, Outcome::RejectedByMember, Some(Role::Primary));
+    harness
+}
+
+/// Guards against the refusal of a write that nothing has run because the retries of other requests have used
+/// up the budget.
+#[test]
+fn a_write_that_an_idle_primary_rejects_waits_for_the_retry_budget() {
+    let mut harness = harness_with_rejected_write_and_empty_budget(0);
+    assert!(!is_rejected(&harness.log, 100), "refused for the retry budget: {:?}", harness.log);
+    // Further requests add to the budget.
+    for id in 101..106 {
+        harness.request(id, AT_MOST_ONCE);
+        harness.advance(12 * MS);
+        harness.end_attempt(id, 0, 1, Outcome::Ok, Some(Role::Primary));
+    }
+    harness.log.clear();
+    harness.advance(300 * MS);
+    let is_retried = |action: &Action| matches!(action, Action::Send { request: 100, .. });
+    assert!(harness.log.iter().any(is_retried), "{:?}", harness.log);
+}
+
+/// Guards against writes that are held in vain while a primary is really full: they are refused immediately.
+#[test]
+fn a_write_that_a_busy_primary_rejects_does_not_wait_for_the_retry_budget() {
+    let harness = harness_with_rejected_write_and_empty_budget(5);
+    assert!(is_rejected(&harness.log, 100), "{:?}", harness.log);
+}
+
 #[test]
 fn requests_beyond_a_tenants_quota_are_shed_first() {
     let sends_with_quota = |quota: f64| {
