The backoff after a rejection by an idle primary follows the latency of the class

Callers saw: a write or a read of the latest data with a short deadline that an idle primary had rejected a few times was refused with most of its attempts unused.

Cause: the backoff of a request for the primary was at least 100 ms, the pace of a search for a new primary, and held requests were looked at again after 50 ms only.

Change: after a rejection by a primary with room the least backoff is the unloaded latency of the class, between a tick and 100 ms, and a hold ends with the backoff. The backoff still grows with the attempts made. After refused connections and in searches it is as before.

--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -144,6 +144,7 @@
         let class = &self.settings.classes[attempt.class];
         let outcome = result.outcome;
         pending.in_flight = None;
+        pending.is_rejected_by_chance = false;
         if outcome == Outcome::LocalError && !result.finished {
             return self.retry_after_local_error(result.request, index);
         }
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -104,15 +104,29 @@
 
     /// Holds a request with backoff.
     ///
-    /// The backoff is the time left, halved once for each attempt left, but at least [`SEARCH_INTERVAL`];
-    /// none for a request without an attempt yet. Without backoff, a primary that refuses connections
+    /// The backoff is the time left, halved once for each attempt left, but at least
+    /// [`Router::least_backoff`]; none for a request without an attempt yet. Without backoff, a primary that refuses connections
     /// would use up all attempts of the request before it recovers.
     fn back_off(&mut self, id: RequestId) -> Selection {
+        let least_wait = self.least_backoff(id);
         let pending = self.requests.get_mut(&id).expect("checked by the caller");
         let time_left = pending.useful_until.saturating_sub(self.now);
         let attempts_left = self.settings.max_attempts.saturating_sub(pending.attempts);
-        let wait = (time_left >> attempts_left.min(63)).max(SEARCH_INTERVAL);
+        let wait = (time_left >> attempts_left.min(63)).max(least_wait);
         pending.backoff_until = self.now + if pending.attempts == 0 { 0 } else { wait };
         Selection::Hold
     }
+
+    /// Returns the shortest backoff of a request: [`SEARCH_INTERVAL`], or its unloaded latency if that is
+    /// shorter and the primary has room for it but has rejected it.
+    ///
+    /// With a longer backoff, a request with a short deadline would run out of time before its attempts.
+    fn least_backoff(&self, id: RequestId) -> Micros {
+        let pending = &self.requests[&id];
+        if !pending.is_rejected_by_chance {
+            return SEARCH_INTERVAL;
+        }
+        let unloaded = self.unloaded_latency(pending.request.class) as Micros;
+        unloaded.max(self.tick_interval()).min(SEARCH_INTERVAL)
+    }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -96,12 +96,16 @@
     fn hold(&mut self, id: RequestId) {
         let Some(pending) = self.requests.get(&id) else { return };
         let (class, useful_until) = (pending.request.class, pending.useful_until);
+        let backoff_until = pending.backoff_until;
         let reserve = (self.unloaded_latency(class) as Micros / 2).max(2 * self.tick_interval());
         let last_hold = useful_until.saturating_sub(reserve);
         if self.now >= last_hold {
             return self.give_up(id, GiveUpReason::HoldEnded);
         }
-        let until = (self.now + SEARCH_INTERVAL / 2).min(last_hold);
+        let mut until = (self.now + SEARCH_INTERVAL / 2).min(last_hold);
+        if backoff_until > self.now {
+            until = until.min(backoff_until);
+        }
         self.requests.get_mut(&id).expect("found above").held_until = Some(until);
     }
 
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -52,6 +52,7 @@
         let deferred = DeferredRetry { cost, rejected_by };
         if let Some(pending) = self.requests.get_mut(&id) {
             pending.deferred_retry = Some(deferred);
+            pending.is_rejected_by_chance = true;
         }
         self.advance(id);
     }
--- a/src/state/pending_request.rs
+++ b/src/state/pending_request.rs
@@ -43,6 +43,8 @@
     /// The number of endpoints that the request was sent to in this round in search of the primary.
     pub(crate) search_attempts: u32,
 
+    /// Whether the last attempt was rejected by an endpoint that has room for it.
+    pub(crate) is_rejected_by_chance: bool,
     /// The next attempt, if the retry budget has yet to pay for it.
     pub(crate) deferred_retry: Option<DeferredRetry>,
     /// When the held request is reconsidered; `None` if the request is not held.
--- a/tests/policy/primary.rs
+++ b/tests/policy/primary.rs
@@ -46,3 +46,28 @@
     let last = harness.log.iter().rev().find_map(|a| sent_to(std::slice::from_ref(a)));
     assert_eq!(last, Some(2), "sent to the new primary as soon as a report names it");
 }
+
+/// Guards against the refusal of a write with a short deadline that an idle primary has rejected a few times:
+/// a backoff of 100 ms or more would use up its time before its attempts.
+#[test]
+fn a_write_with_a_short_deadline_is_retried_soon_after_rejections_by_an_idle_primary() {
+    let mut harness = RouterHarness::with_known_roles(Settings { max_attempts: 8, ..settings() }, 3);
+    for id in 1..=100 {
+        let actions = harness.request(id, AT_MOST_ONCE);
+        assert_eq!(sent_to(&actions), Some(1), "write {id}");
+        harness.advance(12 * MS);
+        harness.end_attempt(id, 0, 1, Outcome::Ok, Some(Role::Primary));
+    }
+    let mut actions =
+        harness.handle(Event::Request(Request { remaining: 200 * MS, ..request(101, AT_MOST_ONCE) }));
+    for attempt in 0..4 {
+        for _ in 0..4 {
+            if sent_to(&actions).is_none() {
+                actions = harness.advance(10 * MS);
+            }
+        }
+        assert_eq!(sent_to(&actions), Some(1), "attempt {attempt}: {:?}", harness.log);
+        harness.advance(MS / 2);
+        actions = harness.end_attempt(101, attempt, 1, Outcome::RejectedByMember, Some(Role::Primary));
+    }
+}
