Tests of idle members that reject one request in four, on both listeners

While they were written, two flaws of the tests themselves showed: a Parse of a class with a deadline of 0.9 s behind a write with 4.9 s, and three members with the same order of rejections, on which a read used up its eight attempts.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod races;
 mod random_faults;
+mod rejections;
 mod session_commits;
 mod support;
 mod system_calls;
