The retry budget also grows with time, by one retry a second of all routers

Change: each router adds its part (`instances`) of one retry a second while it looks for a retry's cost. The cap is as before.

--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -36,7 +36,7 @@
     pub(crate) fn on_request(&mut self, request: Request) {
         let shed_draw = self.random.fraction();
         self.traffic.arrivals.record(self.now);
-        self.add_to_retry_budget();
+        self.add_request_to_retry_budget();
         self.trial_budget = (self.trial_budget + health::TRIAL_SHARE).min(1.0);
         let Some(class) = self.settings.classes.get(request.class) else {
             let reason = GiveUpReason::UnknownClass;
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -9,17 +9,31 @@
 use crate::state::{DeferredRetry, EndpointIndex};
 
 /// The number of retries that each request adds to the retry budget, which accumulates at most the retries of
-/// one second of requests.
+/// one second of requests, and at least one.
 const RETRIES_PER_REQUEST: f64 = 0.2;
+/// The number of retries per second that all routers together add to their budgets whether or not requests
+/// arrive. Without it, a request could not be retried after the last one of a busy time.
+const RETRIES_PER_SECOND: f64 = 1.0;
 /// What a retry costs after a rejection by an endpoint that has room for it and has answered the attempt
 /// before. The cost doubles with each rejection in a row, up to that of any other retry.
 const CHANCE_REJECTION_COST: f64 = 0.1;
 
 impl Router {
     /// Adds the share of an arriving request to the retry budget.
-    pub(super) fn add_to_retry_budget(&mut self) {
+    pub(super) fn add_request_to_retry_budget(&mut self) {
+        self.add_to_retry_budget(RETRIES_PER_REQUEST);
+    }
+
+    /// Adds the part of this router in the retries per second since the last call.
+    fn add_time_to_retry_budget(&mut self) {
+        let elapsed = self.now.saturating_sub(self.retry_budget_at) as f64 / 1e6;
+        self.retry_budget_at = self.now;
+        self.add_to_retry_budget(elapsed * RETRIES_PER_SECOND / f64::from(self.settings.instances.max(1)));
+    }
+
+    fn add_to_retry_budget(&mut self, retries: f64) {
         let retries_per_second = self.traffic.arrivals.per_second_at(self.now) * RETRIES_PER_REQUEST;
-        self.retry_budget = (self.retry_budget + RETRIES_PER_REQUEST).min(retries_per_second.max(1.0));
+        self.retry_budget = (self.retry_budget + retries).min(retries_per_second.max(1.0));
     }
 
     /// Returns what a retry costs of the retry budget after an attempt that ended like this.
@@ -65,6 +79,7 @@
     /// [`GiveUpReason::RetryBudget`] if the budget does not cover it and the endpoint that has rejected the
     /// request turns out to be overloaded.
     pub(super) fn pay_for_deferred_retry(&mut self, id: RequestId) -> Result<bool, GiveUpReason> {
+        self.add_time_to_retry_budget();
         let Some(pending) = self.requests.get_mut(&id) else { return Ok(true) };
         let Some(DeferredRetry { cost, rejected_by }) = pending.deferred_retry else { return Ok(true) };
         if self.retry_budget >= cost {
--- a/src/router.rs
+++ b/src/router.rs
@@ -48,6 +48,8 @@
     /// The number of retries that may be sent. Fractional: a retry costs less than one if the failed attempt
     /// took less than its unloaded latency.
     pub(crate) retry_budget: f64,
+    /// When the retries per second were last added to the retry budget.
+    pub(crate) retry_budget_at: Micros,
     /// The number of trials of ejected endpoints for which reads may be used. Fractional: each request adds a
     /// part of a trial.
     pub(crate) trial_budget: f64,
@@ -65,6 +67,7 @@
             created_at: now,
             now,
             retry_budget: policy::BUDGET_START,
+            retry_budget_at: now,
             trial_budget: policy::BUDGET_START,
             sends: policy::FIRST_SEND_NUMBER,
             ..Router::default()
