A rejection shows load also where many attempts are outstanding at the moment

Now six attempts outstanding at once count as load too, and the average follows within about 6 s instead of 10 s. - Eight rejections in a row within some 20 ms, of retries that run together, made an idle primary count as one that serves nothing, and 6 of 1,000 writes were refused. The row must last for half a second.

--- a/src/estimators/occupancy.rs
+++ b/src/estimators/occupancy.rs
@@ -3,7 +3,7 @@
 use crate::Micros;
 
 /// The time constant with which the past loses its weight in the average.
-const TIME_CONSTANT_US: f64 = 10_000_000.0;
+const TIME_CONSTANT_US: f64 = 6_000_000.0;
 /// The time without attempts that is assumed to precede the first one. Without it, the first attempt alone
 /// would be the average of an endpoint that a router has just begun to use.
 const ASSUMED_IDLE_US: f64 = 2_000_000.0;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -37,8 +37,14 @@
 /// The average number of attempts of all routers at an endpoint below which the endpoint is idle most of the
 /// time: it serves at least one request at a time, so its queue is empty then.
 const IDLE_OCCUPANCY: f64 = 1.0;
+/// The number of attempts of all routers that are outstanding at an endpoint at the same time from which it may
+/// be full, even if it is idle on average.
+const FULL_OCCUPANCY: f64 = 6.0;
 /// The number of rejections in a row from which an endpoint serves no attempt at present.
 const REJECTIONS_IN_A_ROW_MAX: u32 = 8;
+/// The shortest time for which an endpoint that serves no attempt has rejected all. Without it, the attempts
+/// of a moment could make such a row at an endpoint that rejects some of them.
+const REJECTION_ROW_TIME_MIN: Micros = 500_000;
 /// The share of the concurrency limit that requests of the lowest priority may use. The rest is reserved for
 /// requests of higher priority.
 const LIMIT_SHARE_MIN: f64 = 0.5;
@@ -94,23 +100,33 @@
     }
 
     /// Returns whether an endpoint that has rejected an attempt as if its queue was full probably has room for
-    /// the next one: it answers most attempts, and all routers together keep it less than busy.
+    /// the next one: it answers most attempts, and all routers together have few attempts there.
     ///
-    /// A rejection by such an endpoint is no queueing delay. Otherwise a few rejections at an idle endpoint
-    /// would make the routers shed requests that the endpoint could serve.
-    ///
-    /// The attempts of the other routers are estimated from those of this one. By Little's law, their average
-    /// number rises both with the rate of requests and with the time that they spend in the queue, so that
-    /// an endpoint with a full queue is never taken for an idle one.
+    /// By Little's law, the average number of attempts rises both with their rate and with the time that they
+    /// spend in the queue, so that an endpoint whose queue is full all the time is not taken for an idle one.
     pub(super) fn rejects_by_chance(&self, index: EndpointIndex) -> bool {
         let endpoint = &self.topology[index];
-        let of_all_routers = endpoint.occupancy.average() * f64::from(self.settings.instances.max(1));
-        of_all_routers < IDLE_OCCUPANCY && !self.rejects_all(index)
+        self.of_all_routers(endpoint.occupancy.average()) < IDLE_OCCUPANCY && !self.rejects_all(index)
+    }
+
+    /// Returns whether a rejection by an endpoint shows that its queue is full. An endpoint that is idle on
+    /// average may be full at the moment.
+    pub(super) fn rejects_for_load(&self, index: EndpointIndex) -> bool {
+        let outstanding = self.topology[index].outstanding.len() as f64;
+        !self.rejects_by_chance(index) || self.of_all_routers(outstanding) >= FULL_OCCUPANCY
     }
 
-    /// Returns whether an endpoint has rejected so many attempts in a row that it serves none at present.
+    /// Estimates the attempts of all routers from those of this one.
+    fn of_all_routers(&self, attempts: f64) -> f64 {
+        attempts * f64::from(self.settings.instances.max(1))
+    }
+
+    /// Returns whether an endpoint has rejected so many attempts in a row, and for so long, that it serves none
+    /// at present.
     pub(super) fn rejects_all(&self, index: EndpointIndex) -> bool {
-        self.topology[index].rejections_in_a_row >= REJECTIONS_IN_A_ROW_MAX
+        let endpoint = &self.topology[index];
+        let is_lasting = self.now >= endpoint.first_rejection_at + REJECTION_ROW_TIME_MIN;
+        endpoint.rejections_in_a_row >= REJECTIONS_IN_A_ROW_MAX && is_lasting
     }
 
     /// Records the latency of an attempt and adapts the concurrency limit of its endpoint.
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -35,9 +35,9 @@
     fn record_outcome(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
         match result.outcome {
             Outcome::Ok | Outcome::NotServable | Outcome::Error => {
-                self.topology.record_rejection(index, false);
+                self.topology.record_rejection(index, false, self.now);
             }
-            Outcome::RejectedByMember => self.topology.record_rejection(index, true),
+            Outcome::RejectedByMember => self.topology.record_rejection(index, true, self.now),
             _ => {}
         }
         match result.outcome {
@@ -71,13 +71,14 @@
         }
     }
 
-    /// Records an attempt that the endpoint has rejected: a queueing delay unless the endpoint has room for
-    /// more, and a failure if the endpoint does nothing but reject.
+    /// Records an attempt that the endpoint has rejected: a queueing delay if the rejection shows load, and a
+    /// failure if the endpoint does nothing but reject. If rejections by an idle endpoint counted as queueing
+    /// delays, routers would shed requests that the endpoint could serve.
     ///
     /// An endpoint that hangs with a full queue rejects each attempt immediately, so that it looks idle. A few
     /// rejections, on the other hand, must not eject an endpoint that answers the other attempts.
     fn record_rejection(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
-        if !self.rejects_by_chance(index) {
+        if self.rejects_for_load(index) {
             self.record_latency(index, attempt, None);
         }
         if self.rejects_all(index) {
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -83,6 +83,8 @@
     /// The number of attempts that the endpoint has rejected, because its queue was full, since it last
     /// answered one.
     pub(crate) rejections_in_a_row: u32,
+    /// When the first of those attempts was rejected.
+    pub(crate) first_rejection_at: Micros,
     pub(crate) last_sent_at: Micros,
     /// The router-wide sequence number of the last attempt sent to the endpoint; a random number below all
     /// sequence numbers before the first attempt.
--- a/src/state/topology.rs
+++ b/src/state/topology.rs
@@ -352,11 +352,14 @@
     }
 
     /// Records whether an endpoint has rejected an attempt, because its queue was full, or has answered it.
-    pub(crate) fn record_rejection(&mut self, index: EndpointIndex, is_rejected: bool) {
+    pub(crate) fn record_rejection(&mut self, index: EndpointIndex, is_rejected: bool, now: Micros) {
         let role = self.role(index);
         let next = |in_a_row: u32| if is_rejected { in_a_row.saturating_add(1) } else { 0 };
         let endpoint = &mut self.endpoints[index];
         endpoint.rejections_in_a_row = next(endpoint.rejections_in_a_row);
+        if endpoint.rejections_in_a_row == 1 {
+            endpoint.first_rejection_at = now;
+        }
         if let Some(group) = self.groups.get_mut(&endpoint.group) {
             group.rejections_in_a_row[role] = next(group.rejections_in_a_row[role]);
         }
