--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What people do here. `.ci/run` calls `make test` and adds the checks of a clean checkout.
 
-.PHONY: build test lint run check sites fleet-cost soak
+.PHONY: build test lint run check sites fleet-cost overload soak
 
 build: ## the two programs, into target/release
 	cargo build --release --locked
@@ -16,6 +16,9 @@
 fleet-cost: ## what a proxy needs with 200 and with 3,200 members, beside the limits; half a minute
 	cargo bench --locked --bench fleet_cost
 
+overload: ## useful answers and attempts at a primary at and over its capacity; four minutes
+	cargo bench --locked --bench overload
+
 SEEDS ?= 1..50
 JOBS ?= 4
 soak: build ## faults on real processes, the rules checked: SEEDS=1..50, JOBS side by side; docs/soak.md
--- a/tests/proxy/support/mod.rs
+++ b/tests/proxy/support/mod.rs
@@ -9,7 +9,7 @@
 mod member;
 mod member_connection;
 mod proxy;
-mod wire;
+pub mod wire;
 
 pub use client::Client;
 pub use discovery::{
