--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -37,8 +37,8 @@
 /// The average number of attempts of all routers at an endpoint below which the endpoint is idle most of the
 /// time: it serves at least one request at a time, so its queue is empty then.
 const IDLE_OCCUPANCY: f64 = 1.0;
-/// The number of attempts of all routers that are outstanding at an endpoint at the same time from which it may
-/// be full, even if it is idle on average.
+/// The number of attempts of all routers that are outstanding at an endpoint at the same time from which it
+/// may be full, even if it is idle on average.
 const FULL_OCCUPANCY: f64 = 6.0;
 /// The number of rejections in a row from which an endpoint serves no attempt at present.
 const REJECTIONS_IN_A_ROW_MAX: u32 = 8;
@@ -99,8 +99,8 @@
         self.traffic.baselines.unloaded_latency(class)
     }
 
-    /// Returns whether an endpoint that has rejected an attempt as if its queue was full probably has room for
-    /// the next one: it answers most attempts, and all routers together have few attempts there.
+    /// Returns whether an endpoint that has rejected an attempt as if its queue was full probably has room
+    /// for the next one: it answers most attempts, and all routers together have few attempts there.
     ///
     /// By Little's law, the average number of attempts rises both with their rate and with the time that they
     /// spend in the queue, so that an endpoint whose queue is full all the time is not taken for an idle one.
@@ -121,8 +121,8 @@
         attempts * f64::from(self.settings.instances.max(1))
     }
 
-    /// Returns whether an endpoint has rejected so many attempts in a row, and for so long, that it serves none
-    /// at present.
+    /// Returns whether an endpoint has rejected so many attempts in a row, and for so long, that it serves
+    /// none at present.
     pub(super) fn rejects_all(&self, index: EndpointIndex) -> bool {
         let endpoint = &self.topology[index];
         let is_lasting = self.now >= endpoint.first_rejection_at + REJECTION_ROW_TIME_MIN;
@@ -131,8 +131,8 @@
 
     /// Records the latency of an attempt and adapts the concurrency limit of its endpoint.
     ///
-    /// `elapsed` is `None` for an attempt that was not answered or was rejected. It counts as a delay of the
-    /// whole latency objective, even if the client had less time left.
+    /// `elapsed` is `None` for an attempt that was not answered, or was rejected for load. It counts as a
+    /// delay of the whole latency objective, even if the client had less time left.
     pub(super) fn record_latency(
         &mut self,
         index: EndpointIndex,
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -62,8 +62,8 @@
         }
     }
 
-    /// Records an attempt that timed out: a queueing delay, and a failure if the endpoint has answered nothing
-    /// since the attempt was sent.
+    /// Records an attempt that timed out: a queueing delay, and a failure if the endpoint has answered
+    /// nothing since the attempt was sent.
     fn record_timeout(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
         self.record_latency(index, attempt, None);
         if self.topology[index].last_answer_at < attempt.sent_at {
@@ -75,8 +75,8 @@
     /// failure if the endpoint does nothing but reject. If rejections by an idle endpoint counted as queueing
     /// delays, routers would shed requests that the endpoint could serve.
     ///
-    /// An endpoint that hangs with a full queue rejects each attempt immediately, so that it looks idle. A few
-    /// rejections, on the other hand, must not eject an endpoint that answers the other attempts.
+    /// An endpoint that hangs with a full queue rejects each attempt immediately, so that it looks idle. A
+    /// few rejections, on the other hand, must not eject an endpoint that answers the other attempts.
     fn record_rejection(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
         if self.rejects_for_load(index) {
             self.record_latency(index, attempt, None);
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -105,8 +105,8 @@
     /// Holds a request with backoff.
     ///
     /// The backoff is the time left, halved once for each attempt left, but at least
-    /// [`Router::least_backoff`]; none for a request without an attempt yet. Without backoff, a primary that refuses connections
-    /// would use up all attempts of the request before it recovers.
+    /// [`Router::least_backoff`]; none for a request without an attempt yet. Without backoff, a primary that
+    /// refuses connections would use up all attempts of the request before it recovers.
     fn back_off(&mut self, id: RequestId) -> Selection {
         let least_wait = self.least_backoff(id);
         let pending = self.requests.get_mut(&id).expect("checked by the caller");
