The event loop's queue counts its length and the wait in it, by source

Change: the queue is a type of its own (src/server/inbox.rs), still one queue of 1,024 messages in the order of arrival. Measured: operations tests pass; no figure of the queue yet.

--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -47,8 +47,16 @@
 pub enum AdminResponse {
     /// The answer `yes` (`true`) or `no`.
     Answer(bool),
-    /// The counters when the event loop handled the request.
-    Counters(Counters),
+    /// The counters when the event loop handled the request: those of the reducer, and those of the server.
+    Counters(Counters, Vec<ServerCounter>),
+}
+
+/// A counter or a gauge of the server.
+pub struct ServerCounter {
+    /// The name in metrics.
+    pub name: String,
+    /// The value.
+    pub value: u64,
 }
 
 /// A request that is passed to the event loop.
@@ -157,15 +165,15 @@
     match sent.then(|| receiver.recv_timeout(left)) {
         Some(Ok(AdminResponse::Answer(true))) => HttpResponse::new(Status::Ok, "yes\n"),
         Some(Ok(AdminResponse::Answer(false))) => HttpResponse::new(Status::ServiceUnavailable, "no\n"),
-        Some(Ok(AdminResponse::Counters(counters))) => {
-            HttpResponse::new(Status::Ok, counters_text(&counters, settings))
+        Some(Ok(AdminResponse::Counters(counters, of_server))) => {
+            HttpResponse::new(Status::Ok, counters_text(&counters, &of_server, settings))
         }
         _ => HttpResponse::new(Status::ServiceUnavailable, "no answer in time\n"),
     }
 }
 
 /// The counters as text, one per line in the form `name=value`.
-fn counters_text(counters: &Counters, settings: &Settings) -> String {
+fn counters_text(counters: &Counters, of_server: &[ServerCounter], settings: &Settings) -> String {
     let mut text = String::new();
     for (class, answers) in settings.class_names.iter().zip(&counters.answers) {
         let counts =
@@ -181,6 +189,9 @@
     let _ = writeln!(text, "members={members}");
     let _ = writeln!(text, "members_unavailable={unavailable}");
     let _ = writeln!(text, "endpoint_list.revision={}", counters.list_revision);
+    for ServerCounter { name, value } in of_server {
+        let _ = writeln!(text, "{name}={value}");
+    }
     for ((kind, reason), count) in &counters.records {
         let _ = writeln!(text, "{}.{reason}={count}", kind.name());
     }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -3,12 +3,12 @@
 use super::{Message, Server};
 use crate::Micros;
 use crate::core::Input;
-use crossbeam_channel::{Receiver, RecvError, RecvTimeoutError};
 
 impl Server {
     /// Runs until the shutdown is complete.
-    pub(super) fn run(&mut self, inbox: &Receiver<Message>) {
-        while let Ok(message) = self.next_message(inbox) {
+    pub(super) fn run(&mut self) {
+        loop {
+            let message = self.next_message();
             let now = self.clock.now();
             if let Some(message) = message {
                 self.handle_message(now, message);
@@ -20,19 +20,10 @@
         }
     }
 
-    /// Waits for the next message; `None` if a timer is due first. Fails if all senders have been dropped.
-    fn next_message(&self, inbox: &Receiver<Message>) -> Result<Option<Message>, RecvError> {
-        let Some(due_at) = self.next_due_at() else {
-            return inbox.recv().map(Some);
-        };
-        if due_at <= self.clock.now() {
-            return Ok(inbox.try_recv().ok());
-        }
-        match inbox.recv_deadline(self.clock.instant(due_at)) {
-            Ok(message) => Ok(Some(message)),
-            Err(RecvTimeoutError::Timeout) => Ok(None),
-            Err(RecvTimeoutError::Disconnected) => Err(RecvError),
-        }
+    /// Waits for the next message; `None` if a timer is due first.
+    fn next_message(&self) -> Option<Message> {
+        let due_at = self.next_due_at().map(|due_at| self.clock.instant(due_at));
+        self.inbox.take_until(due_at)
     }
 
     /// The time at which the next timer is due; `None` if no timer is set.
--- a/src/server/messages.rs
+++ b/src/server/messages.rs
@@ -1,5 +1,6 @@
 //! The messages that the event loop handles.
 
+use super::inbox::Source;
 use crate::client::{ClientBatch, ClientEvent, ClientId, SimpleQuery};
 use crate::config::{Config, ConfigError};
 use crate::core::Input;
@@ -8,7 +9,6 @@
 use crate::net::admin::AdminCall;
 use crate::net::client;
 use crate::net::discovery::WatchEvent;
-use crossbeam_channel::Sender;
 
 /// A message to the event loop.
 pub enum Message {
@@ -36,5 +36,20 @@
     ClientReadingStopped,
 }
 
-/// The sender of messages to the event loop.
-pub type Messages = Sender<Message>;
+impl Message {
+    /// Where the message comes from.
+    pub fn source(&self) -> Source {
+        match self {
+            Message::Core(_) => Source::Members,
+            Message::Discovery(_) => Source::Discovery,
+            Message::Reload(_) | Message::StoredList(_) | Message::Admin(_) | Message::Terminate => {
+                Source::Control
+            }
+            Message::Accepted(..)
+            | Message::Client(..)
+            | Message::Extended(..)
+            | Message::ClientBarrier(_)
+            | Message::ClientReadingStopped => Source::Clients,
+        }
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -8,6 +8,7 @@
 mod event_log;
 mod event_loop;
 mod fronts;
+mod inbox;
 mod memory_division;
 mod messages;
 mod reducer_effects;
@@ -16,7 +17,8 @@
 mod signals;
 mod startup;
 
-pub use messages::{Message, Messages};
+pub use inbox::Messages;
+pub use messages::Message;
 pub use startup::{ServeError, serve};
 
 use crate::client::{ClientCloseReason, ClientId};
@@ -31,6 +33,7 @@
 use endpoint_watch::{EndpointWatches, ReloadRetry};
 use event_log::EventLog;
 use fronts::Fronts;
+use inbox::Inbox;
 use shutdown::Shutdown;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -48,6 +51,7 @@
     store: Store,
     /// The sender of messages to this event loop.
     messages: Messages,
+    inbox: Inbox,
     client_reactor: client::ReactorHandle,
     /// Disconnected once the last client connection has closed after a shutdown.
     clients_closed: Receiver<()>,
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -1,9 +1,10 @@
 //! The proxy's readiness, and the service state, which operators can set.
 
+use super::inbox::Source;
 use super::{LOG_TARGET, Server};
 use crate::core::{Counters, RecordKind};
 use crate::front::ServiceState;
-use crate::net::admin::{AdminCall, AdminRequest, AdminResponse};
+use crate::net::admin::{AdminCall, AdminRequest, AdminResponse, ServerCounter};
 use crate::{Micros, Settings};
 
 /// The proxy becomes ready this long after its start even if no endpoint update has arrived.
@@ -27,7 +28,7 @@
     pub(super) fn handle_admin_call(&mut self, now: Micros, call: AdminCall) {
         let response = match call.request {
             AdminRequest::Ready => AdminResponse::Answer(self.ready_at.is_none()),
-            AdminRequest::Counters => AdminResponse::Counters(self.counters()),
+            AdminRequest::Counters => AdminResponse::Counters(self.counters(), self.inbox_counters()),
             AdminRequest::SetInService(in_service) => {
                 self.set_in_service(now, in_service);
                 AdminResponse::Answer(true)
@@ -50,6 +51,23 @@
         counters
     }
 
+    /// The counters of the queue of messages to the event loop.
+    fn inbox_counters(&self) -> Vec<ServerCounter> {
+        let mut counters = Vec::new();
+        for (source, counts) in Source::ALL.iter().zip(self.inbox.counts()) {
+            for (name, value) in [
+                ("queued", counts.queued as u64),
+                ("most_queued", counts.most_queued as u64),
+                ("taken", counts.taken),
+                ("waited_us", counts.waited.as_micros() as u64),
+                ("longest_wait_us", counts.longest_wait.as_micros() as u64),
+            ] {
+                counters.push(ServerCounter { name: format!("event_queue.{}.{name}", source.name()), value });
+            }
+        }
+        counters
+    }
+
     fn set_in_service(&mut self, now: Micros, in_service: bool) {
         tracing::info!(target: LOG_TARGET, on = in_service, "service state set by an operator");
         self.drain_at = (!in_service).then_some(now + OUT_OF_SERVICE_CLOSE_DELAY);
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -4,6 +4,7 @@
 use super::endpoint_watch::EndpointWatches;
 use super::event_log::{EventLog, ListSource};
 use super::fronts::Fronts;
+use super::inbox::{Inbox, inbox};
 use super::memory_division::MemoryDivision;
 use super::service::max_startup_wait;
 use super::shutdown::Shutdown;
@@ -25,8 +26,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The most messages to the event loop that are queued; a sender blocks while the queue is full.
-const MESSAGE_QUEUE_CAPACITY: usize = 1024;
 /// Why the server could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -48,7 +47,7 @@
 ) -> Result<(), ServeError> {
     let extended_listener = extended.as_ref().map(|listen| TcpListener::bind(listen.listen)).transpose()?;
     let clock = Clock::start();
-    let (messages, inbox) = bounded(MESSAGE_QUEUE_CAPACITY);
+    let (messages, inbox) = inbox();
     // The signal handlers come first: without them, a signal during startup would end the process without a
     // graceful shutdown.
     signals::start(messages.clone())?;
@@ -58,7 +57,7 @@
     let mut listeners = vec![ClientListener { listener, extended: false }];
     listeners.extend(extended_listener.map(|listener| ClientListener { listener, extended: true }));
     let (mut server, client_reactor) =
-        Server::build(config, clock, store, messages.clone(), listeners, extended)?;
+        Server::build(config, clock, store, (messages.clone(), inbox), listeners, extended)?;
     server.load_configured_state(config);
     if let Some(address) = config.admin_listen {
         let address = admin::listen(address, server.settings.clone(), admin_calls(messages))?;
@@ -66,14 +65,16 @@
     }
     log_addresses(config, listen_address, extended_address);
     spawn("clients", move || client_reactor.run())?;
-    server.run(&inbox);
+    server.run();
     tracing::info!(target: LOG_TARGET, "shutdown complete");
     Ok(())
 }
 
 /// Starts the store, which sends the recovered endpoint list to the event loop.
 fn start_store(config: &Config, replicas: &StoreConfig, messages: Messages) -> Result<Store, StoreError> {
-    let recovered = move |state: State| drop(messages.try_send(Message::StoredList(state.members)));
+    let recovered = move |state: State| {
+        let _ = messages.send(Message::StoredList(state.members));
+    };
     Store::start(replicas, config.seed, recovered)
 }
 
@@ -111,7 +112,9 @@
 
 /// Passes events of member connections to the event loop.
 fn member_events(messages: Messages) -> MemberEvents {
-    MemberEvents::new(move |event| drop(messages.send(Message::Core(event))))
+    MemberEvents::new(move |event| {
+        let _ = messages.send(Message::Core(event));
+    })
 }
 
 /// Passes events of the client reactor to the event loop.
@@ -133,7 +136,7 @@
         config: &Config,
         clock: Clock,
         store: Store,
-        messages: Messages,
+        (messages, inbox): (Messages, Inbox),
         listeners: Vec<ClientListener>,
         extended: Option<ExtendedListenerConfig>,
     ) -> std::io::Result<(Server, ClientReactor)> {
@@ -193,6 +196,7 @@
             client_closes: BTreeMap::new(),
             discovery_calls: BTreeMap::new(),
             messages,
+            inbox,
         };
         Ok((server, reactor))
     }
--- a/tests/proxy/operations.rs
+++ b/tests/proxy/operations.rs
@@ -38,7 +38,10 @@
     // The event loop shuts the socket down, and counts the closure only when the connection's worker thread
     // has reported it, so the member may see the end of the connection before the counter exists.
     wait_for_counter(&proxy, "member_connections_closed.job_cancelled=");
-    insta::assert_snapshot!(proxy.admin_request("GET", "counters").1, @r"
+    let counters = proxy.admin_request("GET", "counters").1;
+    let (of_queue, others): (Vec<_>, Vec<_>) =
+        counters.lines().partition(|line| line.starts_with("event_queue."));
+    insta::assert_snapshot!(others.join("\n"), @r"
     downstream_requests.own.completed=0
     downstream_requests.own.rejected=0
     downstream_requests.own.failed=0
@@ -58,6 +61,15 @@
     member_connections_closed.job_cancelled=1
     client_connections_closed.closed_by_client=2
     ");
+    // The times are of this run; the names and the number of lines are not.
+    let names: Vec<_> = of_queue.iter().map(|line| line.split_once('=').unwrap().0).collect();
+    let expected = ["control", "members", "discovery", "clients"].iter().flat_map(|source| {
+        ["queued", "most_queued", "taken", "waited_us", "longest_wait_us"]
+            .map(|name| format!("event_queue.{source}.{name}"))
+    });
+    assert_eq!(names, expected.collect::<Vec<_>>());
+    assert_eq!(counter_value(&counters, "event_queue.clients.queued"), 0);
+    assert!(counter_value(&counters, "event_queue.members.taken") > 0);
 }
 
 #[test]
