--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod checker;
 pub mod client;
 pub mod discovery;
+pub mod flood;
 pub mod history;
 pub mod member;
 pub mod notices;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use liftrelay_soak::checker::{check, summary};
+use liftrelay_soak::flood::Play;
 use liftrelay_soak::history::SECOND;
 use liftrelay_soak::report::{report, timeline};
 use liftrelay_soak::run::play;
@@ -14,8 +15,8 @@
 /// Plays faults on real proxies on loopback, and checks the rules.
 #[derive(FromArgs)]
 struct Arguments {
-    /// the seeds, as in 1..50
-    #[argh(option, from_str_fn(parse_seeds))]
+    /// the seeds, as in 1..50 (1 unless given)
+    #[argh(option, from_str_fn(parse_seeds), default = "(1, 1)")]
     seeds: (u64, u64),
     /// the program of the proxy
     #[argh(option)]
@@ -23,6 +24,12 @@
     /// runs side by side (2 unless given)
     #[argh(option, default = "2")]
     jobs: usize,
+    /// play a flood of each seed in place of its scenario
+    #[argh(switch)]
+    floods: bool,
+    /// play the floods of encryption requests of 2026-12-05, and no seeds
+    #[argh(switch)]
+    encryption_requests: bool,
     /// show what was done and which requests were not served, second by second
     #[argh(switch)]
     show: bool,
@@ -33,6 +40,8 @@
 
 /// Time in the run at which a planted fault is injected.
 const PLANT_AT: u64 = 2 * SECOND;
+/// The most findings of one flood that are printed.
+const MAX_SHOWN_FINDINGS: usize = 8;
 
 fn parse_seeds(text: &str) -> Result<(u64, u64), String> {
     let (first, last) = text.split_once("..").unwrap_or((text, text));
@@ -58,6 +67,11 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if arguments.encryption_requests {
+        let plays = Play::of_encryption_requests();
+        let broken = plays.iter().filter(|play| !show_flood(&arguments, play, "encryption requests")).count();
+        return if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+    }
     let (first, last) = arguments.seeds;
     let next = AtomicU64::new(first);
     let broken = Mutex::new(Vec::new());
@@ -69,7 +83,11 @@
                     if seed > last {
                         return;
                     }
-                    if !play_seed(&arguments, seed) {
+                    let holds = match arguments.floods {
+                        true => play_flood(&arguments, seed),
+                        false => play_seed(&arguments, seed),
+                    };
+                    if !holds {
                         broken.lock().unwrap().push(seed);
                     }
                 }
@@ -82,6 +100,33 @@
     if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Plays the flood of a seed, and prints its figures and findings. Returns `true` if there are none.
+fn play_flood(arguments: &Arguments, seed: u64) -> bool {
+    show_flood(arguments, &Play::draw(seed), &format!("seed {seed}"))
+}
+
+/// Plays a flood, and prints its figures and findings. Returns `true` if it could be played and there are
+/// none.
+fn show_flood(arguments: &Arguments, play: &Play, name: &str) -> bool {
+    let folder = std::env::temp_dir().join(format!("liftrelay-flood-{}-{}", std::process::id(), play.seed));
+    let played = play.run(&arguments.program, &folder);
+    let _ = std::fs::remove_dir_all(&folder);
+    match played {
+        Ok(result) => {
+            println!("{name}: {}", result.summary());
+            if arguments.show || !result.findings.is_empty() {
+                println!("  {play:?}");
+            }
+            result.findings.iter().take(MAX_SHOWN_FINDINGS).for_each(|finding| println!("  {finding}"));
+            result.findings.is_empty()
+        }
+        Err(error) => {
+            println!("{name}: the flood could not be played: {error}");
+            false
+        }
+    }
+}
+
 /// Plays the run of a seed and prints its summary and findings. Returns `true` if the run could be played and
 /// each finding, if any, is marked unclear.
 fn play_seed(arguments: &Arguments, seed: u64) -> bool {
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -4,6 +4,7 @@
 use crate::wire::{Reply, query, read_reply, startup_message};
 use rustix::process::{Pid, Signal, kill_process};
 use std::collections::{HashSet, VecDeque};
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -19,6 +20,10 @@
 /// Pause between two checks whether a process is ready.
 const READY_STEP: Duration = Duration::from_millis(20);
 
+/// The environment of the program, as `deploy/balancer.toml` sets it.
+const ALLOCATOR_VARIABLES: [(&str, &str); 2] =
+    [("MALLOC_MMAP_THRESHOLD_", "32768"), ("MALLOC_ARENA_MAX", "1")];
+
 /// A proxy. It keeps its name and address over all starts of its process.
 pub struct Proxy {
     /// The proxy's index; its name is `n{index}`.
@@ -26,6 +31,8 @@
     /// The address to which clients connect.
     pub address: SocketAddr,
     program: PathBuf,
+    /// The arguments of the program behind `serve`.
+    arguments: Vec<OsString>,
     directory: PathBuf,
     child: Mutex<Option<Child>>,
     /// Whether clients open connections to it, as if a load balancer had it in rotation.
@@ -65,6 +72,7 @@
             index,
             address,
             program: program.into(),
+            arguments: Vec::new(),
             directory,
             child: Mutex::new(None),
             is_in_rotation: AtomicBool::new(false),
@@ -80,6 +88,12 @@
         })
     }
 
+    /// Adds arguments of the program.
+    pub fn with_arguments(mut self, arguments: impl IntoIterator<Item = OsString>) -> Proxy {
+        self.arguments.extend(arguments);
+        self
+    }
+
     /// Replaces the configuration file atomically.
     pub fn write_configuration(&self, text: &str) -> std::io::Result<()> {
         let new = self.directory.join("new.json");
@@ -91,6 +105,8 @@
     pub fn start(self: &Arc<Self>) -> std::io::Result<()> {
         let mut child = Command::new(&self.program)
             .arg("serve")
+            .args(&self.arguments)
+            .envs(ALLOCATOR_VARIABLES)
             .env("GW_CONFIG", self.directory.join("config.json"))
             .env_remove("GW_LISTEN")
             .env_remove("GW_DISCOVERY")
@@ -234,6 +250,13 @@
         Some((memory, descriptors))
     }
 
+    /// Returns the highest resident memory of the process in KiB, or `None` if it can't be read.
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process_id()?)).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Returns the last `limit` kept log lines that contain a text.
     pub fn log_lines(&self, text: &str, limit: usize) -> Vec<String> {
         let log = self.log.lock().unwrap();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,5 +93,7 @@
 pub use front::postgres::{ExtendedListenerConfig, UnknownClassError};
 pub use model::*;
 pub use net::{ListenError, client_listener};
+pub use pg::message_tags::frontend::ALL as CLIENT_MESSAGE_TYPES;
+pub use pg::{STARTUP_FORMS, StartupForm, StartupKind};
 pub use router::Router;
 pub use server::{ServeError, serve};
--- a/src/net/client/commands.rs
+++ b/src/net/client/commands.rs
@@ -56,7 +56,7 @@
                 ClientEvent::Command(SimpleQuery { received_at: self.last_read_at, text, fields })
             }
             Some((frontend::TERMINATE, _)) => ClientEvent::Terminate,
-            Some((tag, _)) if is_known_but_unsupported(tag) => ClientEvent::Unsupported,
+            Some((tag, _)) if frontend::ALL.contains(&tag) => ClientEvent::Unsupported,
             Some(_) => return Err(ProtocolError::UnknownMessageType),
         };
         let step = match &event {
@@ -176,19 +176,3 @@
 fn begins_or_continues_batch(tag: u8) -> bool {
     matches!(tag, frontend::PARSE | frontend::BIND | frontend::EXECUTE | frontend::DESCRIBE | frontend::CLOSE)
 }
-
-/// Whether messages of this type are valid in PostgreSQL's protocol but not supported on the listener for
-/// simple queries.
-fn is_known_but_unsupported(tag: u8) -> bool {
-    matches!(
-        tag,
-        frontend::PARSE
-            | frontend::BIND
-            | frontend::EXECUTE
-            | frontend::DESCRIBE
-            | frontend::CLOSE
-            | frontend::FLUSH
-            | frontend::SYNC
-            | frontend::FUNCTION_CALL
-    )
-}
--- a/src/pg/frame_reader.rs
+++ b/src/pg/frame_reader.rs
@@ -21,16 +21,41 @@
 
 /// The lengths that a startup packet may have.
 const STARTUP_PACKET_LENGTHS: RangeInclusive<usize> = 8..=10_000;
-/// The code of a request to cancel a command of another connection.
-const CANCEL_REQUEST_CODE: u32 = 80_877_102;
-const CANCEL_REQUEST_BYTES: usize = 16;
-/// The code of a request for TLS encryption.
-const SSL_REQUEST_CODE: u32 = 80_877_103;
-/// The code of a request for GSS encryption.
-const GSS_ENCRYPTION_REQUEST_CODE: u32 = 80_877_104;
-const ENCRYPTION_REQUEST_BYTES: usize = 8;
-/// The protocol versions that are served: 3.0 to 3.91.
-const PROTOCOL_VERSIONS: RangeInclusive<u32> = 196_608..=196_699;
+/// The bytes of a startup packet before its parameters: its length and its code.
+const STARTUP_HEADER_BYTES: usize = 8;
+
+/// What a startup packet asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartupKind {
+    /// The protocol of version 3, with parameters.
+    Startup,
+    /// TLS or GSS encryption.
+    Encryption,
+    /// To cancel a command of another connection.
+    Cancel,
+}
+
+/// The form of a kind of startup packet.
+#[derive(Clone, Debug)]
+pub struct StartupForm {
+    /// What the packet asks for.
+    pub kind: StartupKind,
+    /// Its codes.
+    pub codes: RangeInclusive<u32>,
+    /// Its lengths in bytes.
+    pub lengths: RangeInclusive<usize>,
+}
+
+/// All startup packets that the parser accepts.
+pub const STARTUP_FORMS: [StartupForm; 4] = [
+    // Protocol versions 3.0 to 3.91.
+    StartupForm { kind: StartupKind::Startup, codes: 196_608..=196_699, lengths: 9..=10_000 },
+    StartupForm { kind: StartupKind::Cancel, codes: 80_877_102..=80_877_102, lengths: 16..=16 },
+    // SSLRequest.
+    StartupForm { kind: StartupKind::Encryption, codes: 80_877_103..=80_877_103, lengths: 8..=8 },
+    // GSSENCRequest.
+    StartupForm { kind: StartupKind::Encryption, codes: 80_877_104..=80_877_104, lengths: 8..=8 },
+];
 
 /// The first packet of a client's connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -226,24 +251,19 @@
 }
 
 fn parse_startup_packet(packet: &[u8]) -> Result<StartupPacket, ProtocolError> {
-    let code = u32_at(packet, 4).ok_or(ProtocolError::UnknownStartupPacket)?;
-    match (code, packet.len()) {
-        (SSL_REQUEST_CODE | GSS_ENCRYPTION_REQUEST_CODE, ENCRYPTION_REQUEST_BYTES) => {
-            Ok(StartupPacket::EncryptionRequest)
-        }
-        (CANCEL_REQUEST_CODE, CANCEL_REQUEST_BYTES) => {
-            let process = u32_at(packet, 8).ok_or(ProtocolError::CancelWithoutKey)?;
-            let secret = u32_at(packet, 12).ok_or(ProtocolError::CancelWithoutKey)?;
+    let code = u32_at(packet, LENGTH_FIELD_BYTES).ok_or(ProtocolError::UnknownStartupPacket)?;
+    let fits = |form: &&StartupForm| form.codes.contains(&code) && form.lengths.contains(&packet.len());
+    let form = STARTUP_FORMS.iter().find(fits).ok_or(ProtocolError::UnknownStartupPacket)?;
+    match form.kind {
+        StartupKind::Startup if packet.last() == Some(&0) => Ok(StartupPacket::Startup),
+        StartupKind::Startup => Err(ProtocolError::UnknownStartupPacket),
+        StartupKind::Encryption => Ok(StartupPacket::EncryptionRequest),
+        StartupKind::Cancel => {
+            let process = u32_at(packet, STARTUP_HEADER_BYTES).ok_or(ProtocolError::CancelWithoutKey)?;
+            let secret = u32_at(packet, STARTUP_HEADER_BYTES + LENGTH_FIELD_BYTES);
+            let secret = secret.ok_or(ProtocolError::CancelWithoutKey)?;
             Ok(StartupPacket::CancelRequest { process, secret })
         }
-        (version, length)
-            if PROTOCOL_VERSIONS.contains(&version)
-                && length > ENCRYPTION_REQUEST_BYTES
-                && packet.last() == Some(&0) =>
-        {
-            Ok(StartupPacket::Startup)
-        }
-        _ => Err(ProtocolError::UnknownStartupPacket),
     }
 }
 
--- a/src/pg/message_tags.rs
+++ b/src/pg/message_tags.rs
@@ -1,28 +1,40 @@
 //! The type bytes of messages and other codes of one byte, with the names of PostgreSQL's documentation.
 
-/// Messages from a client.
+/// Declares a constant for each type byte, and the table of them.
+macro_rules! message_types {
+    ($($(#[$doc:meta])* $name:ident = $tag:literal,)*) => {
+        $($(#[$doc])* pub const $name: u8 = $tag;)*
+
+        /// All types, in the order of their declaration.
+        pub const ALL: &[u8] = &[$($name),*];
+    };
+}
+
+/// Messages from a client. The parser accepts those of the table `ALL` only.
 #[allow(dead_code, reason = "complete for what clients may send, whether or not it is served")]
 pub mod frontend {
-    /// Bind: creates a portal.
-    pub const BIND: u8 = b'B';
-    /// Close: closes a statement or a portal.
-    pub const CLOSE: u8 = b'C';
-    /// Describe: requests the description of a statement or a portal.
-    pub const DESCRIBE: u8 = b'D';
-    /// Execute: executes a portal.
-    pub const EXECUTE: u8 = b'E';
-    /// Flush: requests the replies to all messages before it.
-    pub const FLUSH: u8 = b'H';
-    /// FunctionCall: calls a function by its object id.
-    pub const FUNCTION_CALL: u8 = b'F';
-    /// Parse: prepares a statement.
-    pub const PARSE: u8 = b'P';
-    /// Query: a simple query.
-    pub const QUERY: u8 = b'Q';
-    /// Sync: ends a batch of extended-query messages.
-    pub const SYNC: u8 = b'S';
-    /// Terminate: the client is about to close the connection.
-    pub const TERMINATE: u8 = b'X';
+    message_types! {
+        /// Bind: creates a portal.
+        BIND = b'B',
+        /// Close: closes a statement or a portal.
+        CLOSE = b'C',
+        /// Describe: requests the description of a statement or a portal.
+        DESCRIBE = b'D',
+        /// Execute: executes a portal.
+        EXECUTE = b'E',
+        /// Flush: requests the replies to all messages before it.
+        FLUSH = b'H',
+        /// FunctionCall: calls a function by its object id.
+        FUNCTION_CALL = b'F',
+        /// Parse: prepares a statement.
+        PARSE = b'P',
+        /// Query: a simple query.
+        QUERY = b'Q',
+        /// Sync: ends a batch of extended-query messages.
+        SYNC = b'S',
+        /// Terminate: the client is about to close the connection.
+        TERMINATE = b'X',
+    }
 }
 
 /// Messages from a server.
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -17,7 +17,9 @@
     startup_message,
 };
 pub use error::ProtocolError;
-pub use frame_reader::{FrameReader, MAX_MESSAGE_BYTES, StartupPacket};
+pub use frame_reader::{
+    FrameReader, MAX_MESSAGE_BYTES, STARTUP_FORMS, StartupForm, StartupKind, StartupPacket,
+};
 pub use parse::{error_field, error_sqlstate, is_well_formed, message_body, single_column, split_c_string};
 
 /// The length of a message's header: its type and its length field.
