Every client event takes a place, and both threads share their time by fair queueing

What callers saw: while six clients sent encryption requests at full speed, a third of the answers of others came after 350 ms, on both listeners. Cause: only commands were limited. The reactor reported all 8,192 packets of one read at once, blocked in the full queue to the event loop, and looked at the next connection only then. Change, the same for all messages in all states: (1) every event of a connection takes one of its 16 places (net/client/queue_place.rs); without one its input is neither parsed nor read, so TCP holds the client. (2) The inbox gives the event loop's time to the source, and then to the connection, that has used least of it (start-time fair queueing, fair_share.rs): the time is measured, so the kind of message does not matter. (3) The reactor serves what is ready in the same order, 64 messages a turn, 2 ms a round. The reactor no longer blocks; at SIGTERM and for memory, messages that wait for places are parsed as these get free. A startup packet that waits keeps the deadline of the first command.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 mod estimators;
 mod exchange;
 mod extended;
+mod fair_share;
 mod front;
 mod memory_budget;
 mod model;
--- a/src/net/client/commands.rs
+++ b/src/net/client/commands.rs
@@ -42,9 +42,6 @@
 
     /// Parses the next message of the simple query protocol, and reports it.
     pub(super) fn parse_simple_query(&mut self, settings: &Settings, events: &EventSink) -> ParseStep {
-        if self.must_wait_for_capacity() {
-            return Ok(ControlFlow::Break(ParseProgress::AtCapacity));
-        }
         let event = match self.frames.next_message()? {
             None => return Ok(ControlFlow::Break(ParseProgress::NeedsBytes)),
             Some((frontend::QUERY, message)) => {
@@ -66,16 +63,13 @@
             }
             _ => ControlFlow::Break(ParseProgress::Finished),
         };
-        events(ReactorEvent::Simple(self.shared.id, event));
+        events(ReactorEvent::Simple(self.shared.id, event, self.take_place()));
         Ok(step)
     }
 
     /// Parses the next message of the extended query protocol. A batch is reported when its last message has
     /// been parsed.
     pub(super) fn parse_extended_message(&mut self, events: &EventSink) -> ParseStep {
-        if self.must_wait_for_capacity() {
-            return Ok(ControlFlow::Break(ParseProgress::AtCapacity));
-        }
         let ParseState::Extended(batch) = &mut self.parse_state else {
             return Ok(ControlFlow::Continue(()));
         };
@@ -96,24 +90,27 @@
                 Ok(ControlFlow::Continue(()))
             }
             Some((frontend::TERMINATE, _)) => {
-                events(ReactorEvent::Extended(self.shared.id, ClientEvent::Terminate));
+                events(ReactorEvent::Extended(self.shared.id, ClientEvent::Terminate, self.take_place()));
                 Ok(ControlFlow::Break(ParseProgress::Finished))
             }
             Some(_) => Err(ProtocolError::UnknownMessageType),
         }
     }
 
-    /// Whether the next message would complete a command while the limits on unanswered commands allow no
-    /// further command. Messages that don't complete a command are parsed regardless of these limits, because
-    /// a connection that waits for capacity has no deadline: a client that stops in the middle of a command
-    /// while others are unanswered must still run into the deadline for completing the command.
-    fn must_wait_for_capacity(&self) -> bool {
-        let is_part_of_batch = |tag| match self.parse_state {
-            ParseState::Extended(_) => begins_or_continues_batch(tag),
-            ParseState::Startup | ParseState::Simple => false,
+    /// Whether the next message would be reported while the limits on events or on unanswered commands allow
+    /// no further one. Messages that only continue a batch are not reported. They are parsed regardless of
+    /// these limits, because a connection that waits for capacity has no deadline: a client that stops in the
+    /// middle of a command while others are unanswered must still run into the deadline for completing the
+    /// command.
+    pub(super) fn must_wait_for_capacity(&self) -> bool {
+        let would_report = match self.parse_state {
+            ParseState::Startup => self.frames.has_complete_startup_packet(),
+            ParseState::Simple => self.frames.complete_message_tag().is_some(),
+            ParseState::Extended(_) => {
+                self.frames.complete_message_tag().is_some_and(|tag| !begins_or_continues_batch(tag))
+            }
         };
-        let completes_command = self.frames.complete_message_tag().is_some_and(|tag| !is_part_of_batch(tag));
-        completes_command && !self.shared.has_capacity()
+        would_report && !self.shared.has_capacity()
     }
 
     /// Counts a complete batch as a command, and reports it.
@@ -127,7 +124,7 @@
         }
         let batch = ClientBatch { received_at: self.last_read_at, messages, end, refusal };
         self.mark_command_received();
-        events(ReactorEvent::Extended(self.shared.id, ClientEvent::Command(batch)));
+        events(ReactorEvent::Extended(self.shared.id, ClientEvent::Command(batch), self.take_place()));
     }
 }
 
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -1,9 +1,11 @@
 //! The reactor's side of one client connection: reading, parsing, and counting towards the limits.
 
+use super::queue_place::QueuePlace;
 use super::shared::{CLOSED, ConnectionShared};
 use super::{EventSink, ReactorEvent};
 use crate::client::ClientEvent;
 use crate::clock::Clock;
+use crate::fair_share::SharedUsedTime;
 use crate::pg::{FrameReader, ProtocolError, StartupPacket};
 use crate::sockets::is_transient_error;
 use crate::{Micros, Settings};
@@ -19,6 +21,8 @@
 pub(super) const COMMAND_TIMEOUT: Duration = Duration::from_millis(2200);
 /// The most bytes that are read and discarded from a closing connection before it is removed.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
+/// The most messages of one connection that are parsed before the reactor serves the others.
+const MAX_MESSAGES_PER_TURN: usize = 64;
 /// An incomplete command counts towards the limit over all connections only from this size on.
 const MIN_COUNTED_INCOMPLETE_BYTES: usize = 4096;
 
@@ -62,8 +66,10 @@
 pub(super) enum ParseProgress {
     /// More bytes are needed.
     NeedsBytes,
-    /// The limit on unanswered commands is reached.
+    /// A limit on events or on unanswered commands is reached.
     AtCapacity,
+    /// The turn is over; further messages have been read.
+    TurnOver,
     /// Nothing more is read from the connection.
     Finished,
 }
@@ -110,6 +116,10 @@
     discarded_bytes: usize,
     /// The number of unwritten bytes when the deadline of the closing connection last expired.
     pub(super) unwritten_bytes_at_deadline: usize,
+    /// Whether the connection waits for another turn, in which its messages are parsed further.
+    pub(super) awaits_turn: bool,
+    /// The time that the reactor has spent on the connection.
+    pub(super) used_time: SharedUsedTime,
 }
 
 impl ClientConnection {
@@ -128,6 +138,8 @@
             closing: false,
             discarded_bytes: 0,
             unwritten_bytes_at_deadline: 0,
+            awaits_turn: false,
+            used_time: SharedUsedTime::default(),
         }
     }
 
@@ -135,11 +147,16 @@
     pub(super) fn report(&self, event: ConnectionEvent, events: &EventSink) {
         let id = self.shared.id;
         events(match self.extended {
-            true => ReactorEvent::Extended(id, event.into()),
-            false => ReactorEvent::Simple(id, event.into()),
+            true => ReactorEvent::Extended(id, event.into(), self.take_place()),
+            false => ReactorEvent::Simple(id, event.into(), self.take_place()),
         });
     }
 
+    /// Takes a place in the queue to the event loop for an event.
+    pub(super) fn take_place(&self) -> QueuePlace {
+        QueuePlace::take(&self.shared)
+    }
+
     /// Whether incoming bytes are discarded: the reactor or the event loop has closed the connection.
     pub(super) fn is_closing(&self) -> bool {
         self.closing || self.shared.unfinished_commands.load(Ordering::SeqCst) & CLOSED != 0
@@ -196,13 +213,19 @@
     /// Whether a complete message has been read but not parsed, as it waits for capacity. Nothing more is
     /// read until it is parsed.
     pub(super) fn has_unparsed_message(&self) -> bool {
-        let is_started = !matches!(self.parse_state, ParseState::Startup);
-        is_started && self.frames.complete_message_tag().is_some()
+        match self.parse_state {
+            ParseState::Startup => self.frames.has_complete_startup_packet(),
+            ParseState::Simple | ParseState::Extended(_) => self.frames.complete_message_tag().is_some(),
+        }
     }
 
-    /// Parses and reports all complete messages, up to the limit on unanswered commands.
+    /// Parses and reports complete messages, up to [`MAX_MESSAGES_PER_TURN`] and to the limits on events and
+    /// on unanswered commands. Every message passes here, in every state of its connection.
     pub(super) fn parse(&mut self, settings: &Settings, events: &EventSink) -> ParseProgress {
-        loop {
+        for _ in 0..MAX_MESSAGES_PER_TURN {
+            if self.must_wait_for_capacity() {
+                return ParseProgress::AtCapacity;
+            }
             let step = match self.parse_state {
                 ParseState::Startup => self.parse_startup(events),
                 ParseState::Simple => self.parse_simple_query(settings, events),
@@ -217,6 +240,10 @@
                 }
             }
         }
+        match self.has_unparsed_message() {
+            true => ParseProgress::TurnOver,
+            false => ParseProgress::NeedsBytes,
+        }
     }
 
     /// Reports that the client has disconnected. A client may close its connection right after it has sent a
@@ -281,12 +308,13 @@
     /// Returns the deadline that applies after a read: an incomplete command must be completed in time. No
     /// deadline applies at the limit on unanswered commands, where the client waits for the proxy.
     pub(super) fn next_deadline(&mut self, progress: ParseProgress) -> Option<Instant> {
-        let command_received = std::mem::take(&mut self.command_received_since_deadline);
-        if progress == ParseProgress::AtCapacity {
-            return None;
+        if progress == ParseProgress::TurnOver {
+            return self.deadline;
         }
+        let command_received = std::mem::take(&mut self.command_received_since_deadline);
         match self.deadline {
             Some(deadline) if !self.any_command_received => Some(deadline),
+            _ if progress == ParseProgress::AtCapacity => None,
             Some(deadline) if self.command_begun && !command_received => Some(deadline),
             _ => self.command_begun.then(|| Instant::now() + COMMAND_TIMEOUT),
         }
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -13,36 +13,40 @@
 mod event_barrier;
 mod handle;
 mod presence;
+mod queue_place;
 mod reactor;
 mod readiness;
 mod shared;
+mod turns;
 mod write_buffer;
 
 pub use accept_gate::ClientListener;
 pub use event_barrier::EventBarrier;
 pub use handle::{ClientHandle, ReactorHandle};
 pub use presence::ClientPresence;
+pub use queue_place::QueuePlace;
 pub use reactor::ClientReactor;
 
 use crate::client::{ClientBatch, ClientEvent, ClientId, SimpleQuery};
 use crate::memory_budget::MemoryBudget;
 use std::sync::Arc;
 
-/// An event that the reactor reports to the event loop.
+/// An event that the reactor reports to the event loop. Each event of a connection takes one of its places in
+/// the queue to the event loop.
 pub enum ReactorEvent {
     /// A new connection, and the handle to write to it.
-    Accepted(ClientId, ClientHandle),
+    Accepted(ClientId, ClientHandle, QueuePlace),
     /// An event of a connection that uses the simple query protocol.
-    Simple(ClientId, ClientEvent<SimpleQuery>),
+    Simple(ClientId, ClientEvent<SimpleQuery>, QueuePlace),
     /// An event of a connection that uses the extended query protocol.
-    Extended(ClientId, ClientEvent<ClientBatch>),
+    Extended(ClientId, ClientEvent<ClientBatch>, QueuePlace),
     /// All client events that had arrived when the barrier was requested have been reported.
     Barrier(EventBarrier),
     /// Reading from clients has stopped, and everything read before has been reported.
     ReadingStopped,
 }
 
-/// Receives the reactor's events; a call may block until the receiver has capacity.
+/// Receives the reactor's events. Their number is bounded by the places of the connections.
 pub type EventSink = Box<dyn Fn(ReactorEvent) + Send>;
 
 /// Limits on the totals over all client connections.
--- a/src/net/client/reactor.rs
+++ b/src/net/client/reactor.rs
@@ -5,11 +5,14 @@
 use super::deadlines::Deadlines;
 use super::event_barrier::PendingBarriers;
 use super::handle::{ClientHandle, ReactorHandle};
+use super::queue_place::QueuePlace;
 use super::shared::{ConnectionShared, ReactorShared};
+use super::turns::{Task, Turns};
 use super::{EventSink, ReactorEvent, ReactorLimits};
 use crate::Settings;
 use crate::client::ClientId;
 use crate::clock::Clock;
+use crate::fair_share::{SharedUsedTime, UsedTime};
 use crossbeam_channel::Sender;
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, Event, EventData, EventFlags};
@@ -35,8 +38,8 @@
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// The most connections that are accepted for one event of a listener.
 const MAX_ACCEPTS_PER_EVENT: usize = 16;
-/// The most events that one call of `epoll_wait` returns.
-const EVENT_CAPACITY: usize = 64;
+/// The most events that one call of `epoll_wait` returns, besides one of each connection.
+const OTHER_EVENTS: usize = 64;
 /// Added to each wait, because a wait that ends just before a deadline finds nothing to do.
 const WAIT_MARGIN: Duration = Duration::from_millis(1);
 
@@ -67,6 +70,9 @@
     /// When the events of `interest_failed` may be requested again.
     interest_retry_at: Option<Instant>,
     barriers: PendingBarriers,
+    pub(super) turns: Turns,
+    /// The time that the reactor has spent on accepting, by listener.
+    listener_times: Vec<SharedUsedTime>,
     /// Whether the event loop has been notified that reading has stopped.
     pub(super) reading_stopped: bool,
     pub(super) clock: Clock,
@@ -92,6 +98,7 @@
         waker.set_nonblocking(true)?;
         wake_receiver.set_nonblocking(true)?;
         epoll::add(&epoll, &wake_receiver, EventData::new_u64(WAKER_TOKEN), EventFlags::IN)?;
+        let listener_times = listeners.iter().map(|_| SharedUsedTime::default()).collect();
         let accept_gate = AcceptGate::open(listeners, &epoll)?;
         let shared = Arc::new(ReactorShared::new(epoll, waker, limits));
         let handle = ReactorHandle(shared.clone());
@@ -108,6 +115,8 @@
             interest_failed: Vec::new(),
             interest_retry_at: None,
             barriers: PendingBarriers::default(),
+            turns: Turns::default(),
+            listener_times,
             reading_stopped: false,
             clock,
             settings,
@@ -119,7 +128,7 @@
 
     /// Runs until a shutdown has been requested and the last connection has closed.
     pub fn run(mut self) {
-        let mut ready = Vec::with_capacity(EVENT_CAPACITY);
+        let mut ready = Vec::with_capacity(self.shared.limits.max_connections + OTHER_EVENTS);
         loop {
             let shutting_down = self.shared.shutdown_requested.load(Ordering::SeqCst);
             if shutting_down && self.connections.is_empty() {
@@ -135,10 +144,9 @@
             if epoll::wait(&self.shared.epoll, space, timeout.as_ref()).is_err() {
                 ready.clear();
             }
-            let nothing_was_ready = ready.iter().all(|event: &Event| event.data.u64() == WAKER_TOKEN);
-            for event in ready.drain(..) {
-                self.handle_event(event);
-            }
+            let tasks = self.take_tasks(ready.drain(..));
+            let nothing_was_ready = tasks.iter().all(|(_, task)| matches!(task, Task::DrainWaker));
+            self.do_tasks(tasks);
             self.barriers.finish_round(nothing_was_ready, &self.events);
             self.expire_deadlines();
             self.accept_gate.resume_if_due(&self.shared);
@@ -163,11 +171,41 @@
         self.interest_failed.extend(self.shared.take_interest_failed());
     }
 
-    fn handle_event(&mut self, event: Event) {
-        match event.data.u64() {
-            WAKER_TOKEN => self.drain_waker(),
-            token if token < CLIENT_ID_BASE => self.accept_waiting(AcceptGate::listener_index(token)),
-            id => self.handle_readiness(id, event.flags),
+    /// The tasks of a round, in the order of the time that listeners and connections have used.
+    fn take_tasks(&mut self, ready: impl Iterator<Item = Event>) -> Vec<(UsedTime, Task)> {
+        let ready = ready.map(|event| match event.data.u64() {
+            WAKER_TOKEN => Task::DrainWaker,
+            token if token < CLIENT_ID_BASE => Task::Accept(AcceptGate::listener_index(token)),
+            id => Task::Handle(id, event.flags),
+        });
+        let continued = self.turns.take_continued().into_iter().map(Task::Continue);
+        let with_position = |task| {
+            let used = used_time(task, &self.listener_times, &self.connections);
+            (used.map_or_else(UsedTime::default, |used| self.turns.position(used)), task)
+        };
+        let mut tasks: Vec<_> = ready.chain(continued).map(with_position).collect();
+        tasks.sort_by_key(|(position, _)| *position);
+        tasks
+    }
+
+    /// Does the tasks of a round until its time is over. `epoll` reports again what is left. While a barrier
+    /// is pending, all tasks are done, because it follows what had arrived.
+    fn do_tasks(&mut self, tasks: Vec<(UsedTime, Task)>) {
+        let mut round = self.turns.begin_round();
+        for (position, task) in tasks {
+            match task {
+                Task::Continue(id) if round.is_over() && self.barriers.is_empty() => {
+                    self.turns.continue_later(id);
+                    continue;
+                }
+                Task::Handle(..) | Task::Accept(_) if round.is_over() && self.barriers.is_empty() => continue,
+                Task::DrainWaker => self.drain_waker(),
+                Task::Accept(listener) => self.accept_waiting(listener),
+                Task::Handle(id, flags) => self.handle_readiness(id, flags),
+                Task::Continue(id) => self.continue_parsing(id),
+            }
+            let used = used_time(task, &self.listener_times, &self.connections);
+            self.turns.end_turn(&mut round, position, used);
         }
     }
 
@@ -178,7 +216,7 @@
     /// How long to wait for events: until the next deadline or retry is due, or without a limit if none is.
     /// While a barrier is pending, the wait is zero, so that only events that are already ready are returned.
     fn wait_timeout(&self) -> Option<Timespec> {
-        if !self.barriers.is_empty() {
+        if !self.barriers.is_empty() || self.turns.has_continued() {
             return Some(Timespec { tv_sec: 0, tv_nsec: 0 });
         }
         let interest_retry = self.interest_retry_at.filter(|_| !self.interest_failed.is_empty());
@@ -310,7 +348,22 @@
         let deadline = Instant::now() + FIRST_COMMAND_TIMEOUT;
         self.deadlines.replace(id, None, Some(deadline));
         self.connections.insert(id, ClientConnection::new(shared.clone(), extended, deadline));
-        (self.events)(ReactorEvent::Accepted(id, handle));
+        (self.events)(ReactorEvent::Accepted(id, handle, QueuePlace::take(&shared)));
         shared.update_interest(&mut shared.state(), false);
     }
 }
+
+/// The time that the listener or the connection of a task has used; `None` if it has neither.
+fn used_time<'a>(
+    task: Task,
+    listeners: &'a [SharedUsedTime],
+    connections: &'a HashMap<ClientId, ClientConnection>,
+) -> Option<&'a SharedUsedTime> {
+    match task {
+        Task::DrainWaker => None,
+        Task::Accept(listener) => listeners.get(listener),
+        Task::Handle(id, _) | Task::Continue(id) => {
+            connections.get(&id).map(|connection| &connection.used_time)
+        }
+    }
+}
--- a/src/net/client/readiness.rs
+++ b/src/net/client/readiness.rs
@@ -11,6 +11,19 @@
 /// How long commands are still read before the process exits. The rest of the time until SIGKILL is left for
 /// their answers.
 const LAST_READ_TIME: Duration = Duration::from_millis(100);
+/// The pause while commands are only waiting for places in the queue to the event loop.
+const PLACE_WAIT: Duration = Duration::from_micros(100);
+
+/// What the last read of a connection has found.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum LastRead {
+    /// Bytes, behind which more may have arrived.
+    Bytes,
+    /// Nothing new, but a message that waits for a place in the queue to the event loop.
+    AwaitsPlace,
+    /// Nothing.
+    Nothing,
+}
 
 impl ClientReactor {
     /// Handles the events of a connection: writes waiting answers, then reads and parses input.
@@ -49,7 +62,26 @@
             connection.report_disconnect(&mut self.read_buffer, &self.events);
             return self.remove_connection(id);
         }
-        self.parse_input(id);
+        if !connection.awaits_turn {
+            self.parse_input(id);
+        }
+    }
+
+    /// Parses further messages of a connection whose turn ended before all were parsed.
+    pub(super) fn continue_parsing(&mut self, id: ClientId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.awaits_turn = false;
+        if !connection.is_closing() && !self.reading_stopped {
+            self.parse_input(id);
+        }
+    }
+
+    /// Has the rest of a connection's messages parsed in a later turn.
+    fn continue_later(&mut self, id: ClientId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !std::mem::replace(&mut connection.awaits_turn, true) {
+            self.turns.continue_later(id);
+        }
     }
 
     /// Reads and parses what arrives on all connections, one read of each in turn, until there is nothing to
@@ -57,51 +89,78 @@
     pub(super) fn read_arrived_input(&mut self) {
         let deadline = Instant::now() + LAST_READ_TIME;
         let ids: Vec<ClientId> = self.connections.keys().copied().collect();
-        let mut has_read = true;
-        while has_read && Instant::now() < deadline {
-            has_read = false;
-            for id in &ids {
-                has_read |= self.read_once(*id);
+        while Instant::now() < deadline {
+            let steps: Vec<LastRead> = ids.iter().map(|id| self.read_once(*id)).collect();
+            if steps.iter().all(|step| *step == LastRead::Nothing) {
+                return;
+            }
+            if !steps.contains(&LastRead::Bytes) {
+                std::thread::sleep(PLACE_WAIT);
             }
         }
     }
 
     /// Parses what has been read on a connection, reads once more if bytes have arrived, and parses those.
-    /// Returns whether bytes were read.
-    fn read_once(&mut self, id: ClientId) -> bool {
-        let Some(connection) = self.connections.get_mut(&id) else { return false };
+    fn read_once(&mut self, id: ClientId) -> LastRead {
+        let Some(connection) = self.connections.get_mut(&id) else { return LastRead::Nothing };
         if connection.is_closing() || !connection.begin_command() {
-            return false;
-        }
-        if !connection.shared.has_unread_input() {
-            self.parse_input(id);
-            return false;
+            return LastRead::Nothing;
         }
-        if !connection.read(&mut self.read_buffer, &self.clock) {
+        let may_read = connection.shared.has_unread_input() && !connection.has_unparsed_message();
+        if may_read && !connection.read(&mut self.read_buffer, &self.clock) {
             connection.report_disconnect(&mut self.read_buffer, &self.events);
             self.remove_connection(id);
-            return false;
+            return LastRead::Nothing;
+        }
+        match self.parse_input(id) {
+            ParseProgress::Finished => LastRead::Nothing,
+            ParseProgress::AtCapacity => LastRead::AwaitsPlace,
+            ParseProgress::TurnOver => LastRead::Bytes,
+            ParseProgress::NeedsBytes if may_read || self.has_unread_input(id) => LastRead::Bytes,
+            ParseProgress::NeedsBytes => LastRead::Nothing,
         }
-        self.parse_input(id);
-        true
+    }
+
+    fn has_unread_input(&self, id: ClientId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| connection.shared.has_unread_input())
     }
 
     /// Parses the input that has been read, and sets the deadline for completing the next command.
-    fn parse_input(&mut self, id: ClientId) {
-        let Some(connection) = self.connections.get_mut(&id) else { return };
+    pub(super) fn parse_input(&mut self, id: ClientId) -> ParseProgress {
+        let Some(connection) = self.connections.get_mut(&id) else { return ParseProgress::Finished };
         let progress = connection.parse(&self.settings, &self.events);
-        if progress == ParseProgress::Finished {
-            return self.end_input(id);
+        if self.end_if_finished(id, progress) {
+            return ParseProgress::Finished;
         }
+        let Some(connection) = self.connections.get_mut(&id) else { return ParseProgress::Finished };
         connection.update_incomplete_command_bytes(&mut self.incomplete_command_bytes);
         self.close_longest_incomplete_commands();
         let Some(connection) = self.connections.get_mut(&id).filter(|connection| !connection.closing) else {
-            return;
+            return ParseProgress::Finished;
         };
         connection.end_command_if_complete();
         let deadline = connection.next_deadline(progress);
         self.deadlines.replace(id, connection.deadline, deadline);
         connection.deadline = deadline;
+        progress
+    }
+
+    /// Ends the input of a connection after its last message, or after the last complete command where all
+    /// are refused; returns whether it has ended.
+    fn end_if_finished(&mut self, id: ClientId, progress: ParseProgress) -> bool {
+        let Some(connection) = self.connections.get(&id) else { return true };
+        let is_refused = progress == ParseProgress::NeedsBytes && connection.shared.refuses_commands();
+        if is_refused {
+            connection.report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
+        }
+        if progress == ParseProgress::TurnOver {
+            self.continue_later(id);
+        }
+        let is_finished = is_refused || progress == ParseProgress::Finished;
+        if is_finished {
+            self.end_input(id);
+        }
+        is_finished
     }
 
     /// Closes the connections with the longest incomplete commands until the total is within its limit.
@@ -112,17 +171,17 @@
         while self.incomplete_command_bytes > self.shared.limits.max_incomplete_command_bytes {
             let Some(id) = self.longest_incomplete_command() else { return };
             let Some(connection) = self.connections.get_mut(&id) else { return };
-            // Complete commands may wait for capacity ahead of the incomplete one.
+            // Complete commands may wait for capacity ahead of the incomplete one. If they have no place in
+            // the queue, the connection ends when the last of them has been refused.
             connection.shared.refuse_commands(Refusal::OverBudget);
-            if connection.parse(&self.settings, &self.events) != ParseProgress::Finished {
-                connection.report(ConnectionEvent::Malformed(ProtocolError::TooMuchBuffered), &self.events);
-            }
-            self.end_input(id);
+            let progress = connection.parse(&self.settings, &self.events);
+            self.end_if_finished(id, progress);
         }
     }
 
-    /// The connection with the longest incomplete command. Connections that exceed their part of the limit
-    /// and have no unanswered command come first, as the close of another one would lose the answer.
+    /// The connection with the longest incomplete command, of those that are not about to end. Connections
+    /// that exceed their part of the limit and have no unanswered command come first, as the close of another
+    /// one would lose the answer.
     fn longest_incomplete_command(&self) -> Option<ClientId> {
         let limits = &self.shared.limits;
         let part = limits.max_incomplete_command_bytes / limits.max_connections;
@@ -130,8 +189,11 @@
             let bytes = connection.incomplete_command_bytes();
             (bytes > part && !connection.shared.has_unanswered_commands(), bytes)
         };
-        let longest = self.connections.iter().max_by_key(|(_, connection)| rank(connection));
-        longest.filter(|(_, connection)| connection.incomplete_command_bytes() > 0).map(|(id, _)| *id)
+        let is_candidate = |connection: &ClientConnection| {
+            connection.incomplete_command_bytes() > 0 && !connection.shared.refuses_commands()
+        };
+        let candidates = self.connections.iter().filter(|(_, connection)| is_candidate(connection));
+        candidates.max_by_key(|(_, connection)| rank(connection)).map(|(id, _)| *id)
     }
 
     /// Removes closing connections whose deadline has passed, and starts to close open connections that have
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -2,8 +2,10 @@
 
 use super::ReactorLimits;
 use super::event_barrier::EventBarrier;
+use super::queue_place::{MAX_QUEUED_EVENTS, RESUME_QUEUED_EVENTS};
 use super::write_buffer::{MAX_WAITING_ANSWERS, WriteBuffer};
 use crate::client::{ClientId, Refusal};
+use crate::fair_share::SharedUsedTime;
 use crate::memory_budget::{HeldBytes, OverBudget};
 use crossbeam_channel::{Receiver, bounded};
 use rustix::event::epoll::{self, EventData, EventFlags};
@@ -131,12 +133,18 @@
     pub(super) unfinished_commands: AtomicUsize,
     /// Whether the client has reset the connection, as a close with unread answers does.
     pub(super) was_reset: AtomicBool,
+    /// The time that the event loop has spent on the events of the connection.
+    pub(super) used_time: Arc<SharedUsedTime>,
     state: Mutex<ConnectionState>,
 }
 
 /// The part of a connection's shared state that is protected by a lock.
 pub(super) struct ConnectionState {
     pub(super) write_buffer: WriteBuffer,
+    /// The events that wait for the event loop or are being handled.
+    pub(super) queued_events: usize,
+    /// Whether reading is paused until fewer events wait.
+    awaits_place: bool,
     /// The sizes in bytes of the unanswered commands, in the order of their arrival; 0 for a command whose
     /// bytes were dropped.
     unanswered_command_sizes: VecDeque<usize>,
@@ -160,6 +168,8 @@
     fn new(unanswered_command_bytes: HeldBytes) -> ConnectionState {
         ConnectionState {
             write_buffer: WriteBuffer::default(),
+            queued_events: 0,
+            awaits_place: false,
             unanswered_command_sizes: VecDeque::new(),
             unanswered_command_bytes,
             reading_paused: false,
@@ -181,6 +191,7 @@
             reactor,
             unfinished_commands: AtomicUsize::new(0),
             was_reset: AtomicBool::new(false),
+            used_time: Arc::default(),
             state: Mutex::new(state),
         }
     }
@@ -232,6 +243,11 @@
         true
     }
 
+    /// Whether all commands that are parsed are refused.
+    pub(super) fn refuses_commands(&self) -> bool {
+        self.state().refusal.is_some()
+    }
+
     /// Refuses all commands that are parsed from now on.
     pub(super) fn refuse_commands(&self, refusal: Refusal) {
         self.state().refusal = Some(refusal);
@@ -262,33 +278,55 @@
         !self.state().unanswered_command_sizes.is_empty()
     }
 
-    /// Whether another command may be read. If not, pauses reading until a command has been answered or
-    /// answers have been written. Before the process exits, the commands that have arrived are read whatever
-    /// the limits, as they are answered without a member.
+    /// Whether another event may be reported. If not, pauses reading until events have been handled, a
+    /// command has been answered or answers have been written.
     pub(super) fn has_capacity(&self) -> bool {
         let mut state = self.state();
+        let has_place = state.queued_events < MAX_QUEUED_EVENTS;
+        let has_capacity = has_place && self.may_have_command(&state);
+        if !has_capacity {
+            state.awaits_place |= !has_place;
+            state.reading_paused = true;
+            self.update_interest(&mut state, false);
+        }
+        has_capacity
+    }
+
+    /// Whether the limits on unanswered commands and on waiting answers admit another command. Before the
+    /// process exits, the commands that have arrived are read whatever these limits, as they are answered
+    /// without a member.
+    fn may_have_command(&self, state: &ConnectionState) -> bool {
         if self.reactor.is_reading_stopped() || state.refusal.is_some() {
             return true;
         }
         let own_bytes = state.unanswered_command_bytes.bytes();
         let all_bytes = self.reactor.limits.command_memory.used();
-        let has_capacity = self.may_add_answer(&state)
+        self.may_add_answer(state)
             && (state.unanswered_command_sizes.is_empty()
                 || (state.unanswered_command_sizes.len() < MAX_PIPELINED_COMMANDS
                     && own_bytes < MAX_PIPELINED_BYTES
-                    && all_bytes < self.reactor.limits.max_unanswered_command_bytes));
-        if !has_capacity {
-            state.reading_paused = true;
-            self.update_interest(&mut state, false);
+                    && all_bytes < self.reactor.limits.max_unanswered_command_bytes))
+    }
+
+    /// Counts an event as handled, and resumes reading if it is paused for a place and enough are free.
+    pub(super) fn event_handled(&self) {
+        let mut state = self.state();
+        state.queued_events -= 1;
+        if state.awaits_place && state.queued_events <= RESUME_QUEUED_EVENTS {
+            state.awaits_place = false;
+            if !state.input_ended {
+                state.reading_paused = false;
+                self.update_interest(&mut state, true);
+            }
         }
-        has_capacity
     }
 
     /// Whether the answer to another command may wait for the socket. Reading is paused while it may not.
     /// Otherwise a client that sends many commands before it reads their answers would exceed the limit on
     /// waiting answers and be disconnected.
     pub(super) fn may_add_answer(&self, state: &ConnectionState) -> bool {
-        let answers = state.write_buffer.answer_count() + state.unanswered_command_sizes.len();
+        let unanswered = state.unanswered_command_sizes.len().max(state.queued_events);
+        let answers = state.write_buffer.answer_count() + unanswered;
         let all_unwritten = self.reactor.unwritten_bytes.load(Ordering::SeqCst);
         let is_half_free = all_unwritten < self.reactor.limits.max_unwritten_bytes / 2;
         state.write_buffer.is_empty() || (answers < MAX_WAITING_ANSWERS && is_half_free)
--- a/src/pg/frame_reader.rs
+++ b/src/pg/frame_reader.rs
@@ -148,6 +148,14 @@
         Ok(Some(packet))
     }
 
+    /// Whether a startup packet has arrived completely. A packet of invalid length counts as complete,
+    /// because [`next_startup_packet`](Self::next_startup_packet) rejects it without the rest.
+    pub fn has_complete_startup_packet(&self) -> bool {
+        length_at(self.buffered(), 0).is_some_and(|length| {
+            !STARTUP_PACKET_LENGTHS.contains(&length) || self.buffered().len() >= length
+        })
+    }
+
     /// The type of a client's next message, if the message has arrived completely. A message of invalid
     /// length counts as complete, because [`next_message`](Self::next_message) rejects it without the rest.
     pub fn complete_message_tag(&self) -> Option<u8> {
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -12,6 +12,7 @@
             let now = self.clock.now();
             if let Some(message) = message {
                 self.handle_message(now, message);
+                self.inbox.handled();
             }
             self.handle_due_times(now);
             if self.advance_shutdown(now).is_break() {
@@ -59,12 +60,12 @@
             Message::Discovery(event) => self.handle_watch_event(now, event),
             Message::Reload(config) => self.reload(now, *config),
             Message::StoredList(list) => self.handle_stored_list(now, &list),
-            Message::Accepted(id, handle) => self.accept_client(now, id, handle),
-            Message::Client(id, event) => {
+            Message::Accepted(id, handle, _place) => self.accept_client(now, id, handle),
+            Message::Client(id, event, _place) => {
                 let effects = self.fronts.handle_platform_event(now, id, event);
                 self.apply_front_effects(now, effects);
             }
-            Message::Extended(id, event) => {
+            Message::Extended(id, event, _place) => {
                 let effects = self.fronts.handle_extended_event(now, id, event);
                 self.apply_front_effects(now, effects);
             }
--- a/src/server/messages.rs
+++ b/src/server/messages.rs
@@ -7,7 +7,7 @@
 use crate::endpoint_list::EndpointList;
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::net::admin::AdminCall;
-use crate::net::client;
+use crate::net::client::{self, QueuePlace};
 use crate::net::discovery::WatchEvent;
 
 /// A message to the event loop.
@@ -21,11 +21,11 @@
     /// The endpoint list that the store recovered from this proxy's last run.
     StoredList(EndpointList),
     /// A new client connection, and the handle to write to it.
-    Accepted(ClientId, client::ClientHandle),
+    Accepted(ClientId, client::ClientHandle, QueuePlace),
     /// An event of a client of the platform's front.
-    Client(ClientId, ClientEvent<SimpleQuery>),
+    Client(ClientId, ClientEvent<SimpleQuery>, QueuePlace),
     /// An event of a client of the extended front.
-    Extended(ClientId, ClientEvent<ClientBatch>),
+    Extended(ClientId, ClientEvent<ClientBatch>, QueuePlace),
     /// A barrier behind the client events that had arrived before it; it is dropped when it is handled.
     ClientBarrier(client::EventBarrier),
     /// A call from the admin listener.
@@ -37,6 +37,17 @@
 }
 
 impl Message {
+    /// The connection that the message came on, and its place in the queue; `None` for a message that comes
+    /// behind those of all connections, or that is of no client.
+    pub fn client_place(&self) -> Option<(ClientId, &QueuePlace)> {
+        match self {
+            Message::Accepted(id, _, place)
+            | Message::Client(id, _, place)
+            | Message::Extended(id, _, place) => Some((*id, place)),
+            _ => None,
+        }
+    }
+
     /// Where the message comes from.
     pub fn source(&self) -> Source {
         match self {
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -121,9 +121,9 @@
 fn client_events(messages: Messages) -> client::EventSink {
     Box::new(move |event| {
         let _ = messages.send(match event {
-            ReactorEvent::Accepted(id, handle) => Message::Accepted(id, handle),
-            ReactorEvent::Simple(id, event) => Message::Client(id, event),
-            ReactorEvent::Extended(id, event) => Message::Extended(id, event),
+            ReactorEvent::Accepted(id, handle, place) => Message::Accepted(id, handle, place),
+            ReactorEvent::Simple(id, event, place) => Message::Client(id, event, place),
+            ReactorEvent::Extended(id, event, place) => Message::Extended(id, event, place),
             ReactorEvent::Barrier(barrier) => Message::ClientBarrier(barrier),
             ReactorEvent::ReadingStopped => Message::ClientReadingStopped,
         });
