A connection whose events were requested in the meantime is not requested again

Cause: a connection stayed in interest_failed after a later call had succeeded, and each retry asked for the writable event, which led to further calls; one that waited behind it always met the failing second call. Change: the connection's state says whether its last call failed. Only then it is retried, once, and only with the writable event if the call that failed was to wake the reactor.

--- a/src/net/client/reactor.rs
+++ b/src/net/client/reactor.rs
@@ -160,8 +160,7 @@
         self.interest_retry_at = Some(Instant::now() + INTEREST_RETRY_DELAY);
         for id in std::mem::take(&mut self.interest_failed) {
             if let Some(connection) = self.connections.get(&id) {
-                let shared = &connection.shared;
-                shared.update_interest(&mut shared.state(), true);
+                connection.shared.retry_interest();
             }
         }
         self.interest_failed.extend(self.shared.take_interest_failed());
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -158,6 +158,10 @@
     refusal: Option<Refusal>,
     /// Whether the connection is registered with the reactor's `epoll` instance.
     registered: bool,
+    /// Whether the last request for events has failed, so that the reactor retries it.
+    interest_failed: bool,
+    /// Whether a request that failed was to wake the reactor.
+    wake_failed: bool,
     /// Whether the reactor has removed the connection.
     pub(super) removed: bool,
     /// Whether the connection is to be closed once all answers have been written.
@@ -176,6 +180,8 @@
             input_ended: false,
             refusal: None,
             registered: false,
+            interest_failed: false,
+            wake_failed: false,
             removed: false,
             closing: false,
         }
@@ -204,12 +210,14 @@
     /// the socket is writable: this wakes the reactor, which then handles this connection again. A close by
     /// the client is always reported, even if unread bytes precede it.
     ///
-    /// If the call fails because of an error of this machine, the reactor retries it later. Otherwise the
-    /// connection would never be read again, or its answer never be written.
+    /// If the call fails because of an error of this machine, the reactor retries it later, unless another
+    /// call has succeeded by then. Otherwise the connection would never be read again, or its answer never be
+    /// written.
     pub(super) fn update_interest(&self, state: &mut ConnectionState, writable_now: bool) {
+        let wakes = writable_now || state.wake_failed;
         let mut flags = EventFlags::RDHUP;
         flags.set(EventFlags::IN, !state.reading_paused);
-        flags.set(EventFlags::OUT, writable_now || !state.write_buffer.is_empty());
+        flags.set(EventFlags::OUT, wakes || !state.write_buffer.is_empty());
         if state.removed {
             return;
         }
@@ -219,9 +227,19 @@
         } else {
             epoll::add(&self.reactor.epoll, &self.stream, data, flags)
         };
-        match requested {
-            Ok(()) => state.registered = true,
-            Err(_) => self.reactor.push_interest_failed(self.id),
+        state.registered |= requested.is_ok();
+        state.wake_failed = requested.is_err() && wakes;
+        let had_failed = std::mem::replace(&mut state.interest_failed, requested.is_err());
+        if state.interest_failed && !had_failed {
+            self.reactor.push_interest_failed(self.id);
+        }
+    }
+
+    /// Requests the events of the connection again if the last request has failed.
+    pub(super) fn retry_interest(&self) {
+        let mut state = self.state();
+        if std::mem::take(&mut state.interest_failed) {
+            self.update_interest(&mut state, false);
         }
     }
 
