Counters and one log line show which clients are held back, why and for how long

Cause: operators could not see that a client was held back: neither the limit on commands nor the one on answers nor the new one on events had a counter. Change: held_back.REASON.times and .held_us; one line for a connection that was held back for 0.5 s in all, with the client, the reason, the time and the number of its events, within the limit on log lines, which is a type of its own now (line_budget.rs). ReactorShared has a file of its own. Measured: tests/proxy/operations.rs names each new counter; its tests pass.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 mod extended;
 mod fair_share;
 mod front;
+mod line_budget;
 mod memory_budget;
 mod model;
 mod net;
--- a/src/net/client/accept_gate.rs
+++ b/src/net/client/accept_gate.rs
@@ -1,6 +1,6 @@
 //! The listeners for clients, and the state in which they accept connections or pause.
 
-use super::shared::ReactorShared;
+use super::reactor_shared::ReactorShared;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::io::Errno;
 use rustix::net::{SocketFlags, accept_with};
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -327,8 +327,7 @@
         let open = self.shared.flush(&mut state);
         let may_resume = !state.input_ended && !self.shared.reactor.is_reading_stopped();
         if state.reading_paused && may_resume && self.shared.may_add_answer(&state) {
-            state.reading_paused = false;
-            self.shared.update_interest(&mut state, false);
+            self.shared.resume_reading(&mut state, false);
         } else if flags.contains(EventFlags::OUT) {
             self.shared.update_interest(&mut state, false);
         }
--- a/src/net/client/handle.rs
+++ b/src/net/client/handle.rs
@@ -1,7 +1,9 @@
 //! The event loop's handles: one for each client connection, and one for the reactor.
 
+use super::hold::{HoldCounts, HoldReason};
 use super::presence::ClientPresence;
-use super::shared::{CLOSED, ConnectionShared, ReactorShared};
+use super::reactor_shared::ReactorShared;
+use super::shared::{CLOSED, ConnectionShared};
 use super::write_buffer::{Added, MAX_WAITING_ANSWERS, WriteLimits};
 use std::net::Shutdown;
 use std::sync::Arc;
@@ -108,6 +110,11 @@
         self.0.wake();
     }
 
+    /// How often and how long clients were held back, in the order of [`HoldReason::ALL`].
+    pub fn hold_counts(&self) -> [HoldCounts; HoldReason::ALL.len()] {
+        self.0.holds.counts()
+    }
+
     /// Closes all connections, which linger for a shorter time than usual. The thread ends when the last
     /// connection has closed.
     pub fn shut_down(&self) {
--- a/src/net/client/queue_place.rs
+++ b/src/net/client/queue_place.rs
@@ -20,7 +20,10 @@
 impl QueuePlace {
     /// Takes a place of a connection.
     pub(super) fn take(connection: &Arc<ConnectionShared>) -> QueuePlace {
-        connection.state().queued_events += 1;
+        let mut state = connection.state();
+        state.queued_events += 1;
+        state.reported_events += 1;
+        drop(state);
         QueuePlace(connection.clone())
     }
 
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -1,20 +1,15 @@
-//! The state that the reactor thread and the event loop share.
+//! The state that the reactor thread and the event loop share for one client connection.
 
-use super::ReactorLimits;
-use super::event_barrier::EventBarrier;
+use super::hold::{Hold, HoldReason};
 use super::queue_place::{MAX_QUEUED_EVENTS, RESUME_QUEUED_EVENTS};
+use super::reactor_shared::ReactorShared;
 use super::write_buffer::{MAX_WAITING_ANSWERS, WriteBuffer};
 use crate::client::{ClientId, Refusal};
 use crate::fair_share::SharedUsedTime;
 use crate::memory_budget::{HeldBytes, OverBudget};
-use crossbeam_channel::{Receiver, bounded};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use std::collections::VecDeque;
-use std::convert::Infallible;
-use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
-use std::os::fd::OwnedFd;
-use std::os::unix::net::UnixStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -26,102 +21,6 @@
 /// Reading from a client is paused while its unanswered commands have this many bytes.
 const MAX_PIPELINED_BYTES: usize = 160 * 1024;
 
-/// The state that the reactor thread and the event loop share for all clients together.
-pub(super) struct ReactorShared {
-    pub(super) epoll: OwnedFd,
-    pub(super) waker: UnixStream,
-    pub(super) limits: ReactorLimits,
-    pub(super) unwritten_bytes: AtomicUsize,
-    pub(super) open_connections: AtomicUsize,
-    /// Whether accepting is paused at the connection limit, so that the reactor must be woken when a
-    /// connection has closed.
-    pub(super) at_connection_limit: AtomicBool,
-    pub(super) shutdown_requested: AtomicBool,
-    /// Whether the reactor is to stop accepting, because another process accepts from the same socket.
-    pub(super) stop_accepting_requested: AtomicBool,
-    /// Whether the reactor is to stop reading and accepting.
-    pub(super) stop_reading_requested: AtomicBool,
-    /// Connections that the event loop has closed, until the reactor takes them.
-    closed: Mutex<Vec<ClientId>>,
-    /// Connections whose events could not be requested, until the reactor takes them to retry.
-    interest_failed: Mutex<Vec<ClientId>>,
-    /// Barriers that have been requested, until the reactor takes them.
-    requested_barriers: Mutex<Vec<EventBarrier>>,
-}
-
-impl ReactorShared {
-    pub(super) fn new(epoll: OwnedFd, waker: UnixStream, limits: ReactorLimits) -> ReactorShared {
-        ReactorShared {
-            epoll,
-            waker,
-            limits,
-            unwritten_bytes: AtomicUsize::new(0),
-            open_connections: AtomicUsize::new(0),
-            at_connection_limit: AtomicBool::new(false),
-            shutdown_requested: AtomicBool::new(false),
-            stop_accepting_requested: AtomicBool::new(false),
-            stop_reading_requested: AtomicBool::new(false),
-            closed: Mutex::default(),
-            interest_failed: Mutex::default(),
-            requested_barriers: Mutex::default(),
-        }
-    }
-
-    /// Wakes the reactor thread.
-    pub(super) fn wake(&self) {
-        while (&self.waker).write(&[0]).is_err_and(|error| error.kind() == ErrorKind::Interrupted) {}
-    }
-
-    /// Requests a barrier behind the client events that have arrived. The returned receiver is disconnected
-    /// once the event loop has handled them.
-    pub(super) fn request_barrier(&self) -> Receiver<Infallible> {
-        let (released, barrier) = bounded(0);
-        self.requested_barriers().push(EventBarrier::new(released));
-        self.wake();
-        barrier
-    }
-
-    /// Removes and returns the requested barriers.
-    pub(super) fn take_requested_barriers(&self) -> Vec<EventBarrier> {
-        std::mem::take(&mut *self.requested_barriers())
-    }
-
-    fn requested_barriers(&self) -> MutexGuard<'_, Vec<EventBarrier>> {
-        self.requested_barriers.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    /// Whether the event loop has requested that reading stops.
-    pub(super) fn is_reading_stopped(&self) -> bool {
-        self.stop_reading_requested.load(Ordering::SeqCst)
-    }
-
-    /// Whether the limit on open connections is reached.
-    pub(super) fn is_full(&self) -> bool {
-        self.open_connections.load(Ordering::SeqCst) >= self.limits.max_connections
-    }
-
-    /// Records a connection that the event loop has closed.
-    pub(super) fn push_closed(&self, id: ClientId) {
-        self.closed.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(id);
-    }
-
-    /// Records a connection whose events could not be requested.
-    fn push_interest_failed(&self, id: ClientId) {
-        self.interest_failed.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(id);
-        self.wake();
-    }
-
-    /// Removes and returns the connections whose events could not be requested.
-    pub(super) fn take_interest_failed(&self) -> Vec<ClientId> {
-        std::mem::take(&mut *self.interest_failed.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
-    }
-
-    /// Removes and returns the connections that the event loop has closed.
-    pub(super) fn take_closed(&self) -> Vec<ClientId> {
-        std::mem::take(&mut *self.closed.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
-    }
-}
-
 /// The state that the reactor thread and the event loop share for one client connection.
 pub(super) struct ConnectionShared {
     pub(super) id: ClientId,
@@ -143,6 +42,9 @@
     pub(super) write_buffer: WriteBuffer,
     /// The events that wait for the event loop or are being handled.
     pub(super) queued_events: usize,
+    /// The events that have been reported since the connection was opened.
+    pub(super) reported_events: u64,
+    hold: Hold,
     /// Whether reading is paused until fewer events wait.
     awaits_place: bool,
     /// The sizes in bytes of the unanswered commands, in the order of their arrival; 0 for a command whose
@@ -173,6 +75,8 @@
         ConnectionState {
             write_buffer: WriteBuffer::default(),
             queued_events: 0,
+            reported_events: 0,
+            hold: Hold::default(),
             awaits_place: false,
             unanswered_command_sizes: VecDeque::new(),
             unanswered_command_bytes,
@@ -300,30 +204,42 @@
     /// command has been answered or answers have been written.
     pub(super) fn has_capacity(&self) -> bool {
         let mut state = self.state();
-        let has_place = state.queued_events < MAX_QUEUED_EVENTS;
-        let has_capacity = has_place && self.may_have_command(&state);
-        if !has_capacity {
-            state.awaits_place |= !has_place;
-            state.reading_paused = true;
-            self.update_interest(&mut state, false);
-        }
-        has_capacity
+        let Some(reason) = self.hold_reason(&state) else { return true };
+        state.awaits_place |= reason == HoldReason::Queue;
+        state.reading_paused = true;
+        state.hold.begin(reason, &self.reactor.holds);
+        self.update_interest(&mut state, false);
+        false
     }
 
-    /// Whether the limits on unanswered commands and on waiting answers admit another command. Before the
-    /// process exits, the commands that have arrived are read whatever these limits, as they are answered
-    /// without a member.
-    fn may_have_command(&self, state: &ConnectionState) -> bool {
+    /// Resumes reading. With `wakes`, the reactor also parses what it has read before.
+    pub(super) fn resume_reading(&self, state: &mut ConnectionState, wakes: bool) {
+        state.reading_paused = false;
+        let events = state.reported_events;
+        state.hold.end(self.id, events, &self.reactor.holds);
+        self.update_interest(state, wakes);
+    }
+
+    /// Why no further event may be reported; `None` if one may. Before the process exits, the commands that
+    /// have arrived are read whatever the limits on commands and answers, as they are answered without a
+    /// member.
+    fn hold_reason(&self, state: &ConnectionState) -> Option<HoldReason> {
+        if state.queued_events >= MAX_QUEUED_EVENTS {
+            return Some(HoldReason::Queue);
+        }
         if self.reactor.is_reading_stopped() || state.refusal.is_some() {
-            return true;
+            return None;
+        }
+        if !self.may_add_answer(state) {
+            return Some(HoldReason::Answers);
         }
         let own_bytes = state.unanswered_command_bytes.bytes();
         let all_bytes = self.reactor.limits.command_memory.used();
-        self.may_add_answer(state)
-            && (state.unanswered_command_sizes.is_empty()
-                || (state.unanswered_command_sizes.len() < MAX_PIPELINED_COMMANDS
-                    && own_bytes < MAX_PIPELINED_BYTES
-                    && all_bytes < self.reactor.limits.max_unanswered_command_bytes))
+        let admits_another = state.unanswered_command_sizes.is_empty()
+            || (state.unanswered_command_sizes.len() < MAX_PIPELINED_COMMANDS
+                && own_bytes < MAX_PIPELINED_BYTES
+                && all_bytes < self.reactor.limits.max_unanswered_command_bytes);
+        (!admits_another).then_some(HoldReason::Commands)
     }
 
     /// Counts an event as handled, and resumes reading if it is paused for a place and enough are free.
@@ -333,8 +249,7 @@
         if state.awaits_place && state.queued_events <= RESUME_QUEUED_EVENTS {
             state.awaits_place = false;
             if !state.input_ended {
-                state.reading_paused = false;
-                self.update_interest(&mut state, true);
+                self.resume_reading(&mut state, true);
             }
         }
     }
@@ -390,8 +305,7 @@
         let bytes = state.unanswered_command_bytes.bytes() - size;
         state.unanswered_command_bytes.set(bytes);
         if state.reading_paused && !state.input_ended && !self.reactor.is_reading_stopped() {
-            state.reading_paused = false;
-            self.update_interest(&mut state, true);
+            self.resume_reading(&mut state, true);
         }
     }
 }
--- a/src/server/event_log.rs
+++ b/src/server/event_log.rs
@@ -9,17 +9,12 @@
 use crate::client::{ClientCloseReason, ClientId};
 use crate::core::{Record, RecordKind};
 use crate::endpoint_list::EndpointList;
+use crate::line_budget::{LeftOut, LineBudget};
 use crate::net::discovery::{CallEnd, WatchId};
 use crate::{EndpointId, EndpointState, Micros, RequestId};
 use std::collections::BTreeMap;
-use std::num::NonZeroU64;
 use std::time::Duration;
 
-/// The number of lines of one kind that may be written in a burst.
-const BURST: f64 = 64.0;
-/// The number of lines of one kind that may be written per second after a burst.
-const LINES_PER_SECOND: f64 = 8.0;
-const MICROS_PER_SECOND: f64 = 1e6;
 /// The target of lines about discovery.
 const DISCOVERY_TARGET: &str = "liftrelay::discovery";
 
@@ -54,34 +49,6 @@
     }
 }
 
-/// The number of lines of the same kind that were left out before a line; `None` if there were none.
-type LeftOut = Option<NonZeroU64>;
-
-/// A token bucket that limits the lines of one kind.
-struct LineBudget {
-    /// The number of lines that may be written at `updated_at`.
-    lines: f64,
-    updated_at: Micros,
-    /// The number of lines that have been left out since the last written line.
-    left_out: u64,
-}
-
-impl LineBudget {
-    /// Takes one line from the budget, and returns how many lines were left out before it; `None` if the
-    /// budget is used up, so that this line is left out as well.
-    fn take(&mut self, now: Micros) -> Option<LeftOut> {
-        let elapsed = now.saturating_sub(self.updated_at) as f64 / MICROS_PER_SECOND;
-        self.updated_at = now;
-        self.lines = (self.lines + elapsed * LINES_PER_SECOND).min(BURST);
-        if self.lines < 1.0 {
-            self.left_out += 1;
-            return None;
-        }
-        self.lines -= 1.0;
-        Some(NonZeroU64::new(std::mem::take(&mut self.left_out)))
-    }
-}
-
 /// Writes log lines about events, within the budget of each kind.
 #[derive(Default)]
 pub(super) struct EventLog {
@@ -91,8 +58,7 @@
 
 impl EventLog {
     fn take_line(&mut self, now: Micros, kind: RecordKind) -> Option<LeftOut> {
-        let full = LineBudget { lines: BURST, updated_at: now, left_out: 0 };
-        self.budgets.entry(kind).or_insert(full).take(now)
+        self.budgets.entry(kind).or_insert_with(|| LineBudget::full(now)).take(now)
     }
 
     /// Logs a record of the reducer. `request` is the request's name in the log, `class` the name of its
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -5,6 +5,7 @@
 use crate::core::{Counters, RecordKind};
 use crate::front::ServiceState;
 use crate::net::admin::{AdminCall, AdminRequest, AdminResponse, ServerCounter};
+use crate::net::client::HoldReason;
 use crate::{Micros, Settings};
 
 /// The proxy becomes ready this long after its start even if no endpoint update has arrived.
@@ -28,7 +29,7 @@
     pub(super) fn handle_admin_call(&mut self, now: Micros, call: AdminCall) {
         let response = match call.request {
             AdminRequest::Ready => AdminResponse::Answer(self.ready_at.is_none()),
-            AdminRequest::Counters => AdminResponse::Counters(self.counters(), self.inbox_counters()),
+            AdminRequest::Counters => AdminResponse::Counters(self.counters(), self.server_counters()),
             AdminRequest::SetInService(in_service) => {
                 self.set_in_service(now, in_service);
                 AdminResponse::Answer(true)
@@ -51,9 +52,15 @@
         counters
     }
 
-    /// The counters of the queue of messages to the event loop.
-    fn inbox_counters(&self) -> Vec<ServerCounter> {
+    /// The counters of the clients that were held back, and of the queue of messages to the event loop.
+    fn server_counters(&self) -> Vec<ServerCounter> {
         let mut counters = Vec::new();
+        for (reason, counts) in HoldReason::ALL.iter().zip(self.client_reactor.hold_counts()) {
+            let held_us = counts.held.as_micros() as u64;
+            for (name, value) in [("times", counts.times), ("held_us", held_us)] {
+                counters.push(ServerCounter { name: format!("held_back.{}.{name}", reason.name()), value });
+            }
+        }
         for (source, counts) in Source::ALL.iter().zip(self.inbox.counts()) {
             for (name, value) in [
                 ("queued", counts.queued as u64),
--- a/tests/proxy/operations.rs
+++ b/tests/proxy/operations.rs
@@ -40,7 +40,7 @@
     wait_for_counter(&proxy, "member_connections_closed.job_cancelled=");
     let counters = proxy.admin_request("GET", "counters").1;
     let (of_queue, others): (Vec<_>, Vec<_>) =
-        counters.lines().partition(|line| line.starts_with("event_queue."));
+        counters.lines().partition(|line| line.starts_with("event_queue.") || line.starts_with("held_back."));
     insta::assert_snapshot!(others.join("\n"), @r"
     downstream_requests.own.completed=0
     downstream_requests.own.rejected=0
@@ -67,7 +67,10 @@
         ["queued", "most_queued", "taken", "waited_us", "longest_wait_us"]
             .map(|name| format!("event_queue.{source}.{name}"))
     });
-    assert_eq!(names, expected.collect::<Vec<_>>());
+    let held = ["queue", "commands", "answers"]
+        .iter()
+        .flat_map(|reason| ["times", "held_us"].map(|name| format!("held_back.{reason}.{name}")));
+    assert_eq!(names, held.chain(expected).collect::<Vec<_>>());
     assert_eq!(counter_value(&counters, "event_queue.clients.queued"), 0);
     assert!(counter_value(&counters, "event_queue.members.taken") > 0);
 }
