Lookups of idle connections do not walk over all connections

Change: each front keeps its idle connections in the order of their idle time, changed where one changes.

--- a/src/front/connection_manager.rs
+++ b/src/front/connection_manager.rs
@@ -1,6 +1,7 @@
 //! Manages the client connections of a front: commands, replies, cancel requests, eviction and closing.
 
 mod closing;
+mod idle_index;
 
 use super::connection::{Connection, ConnectionEnd};
 use super::{FrontEffect, Protocol, RequestRegistry, ServiceState};
@@ -9,12 +10,9 @@
 use crate::exchange::MemberResponse;
 use crate::pg::{self, ProtocolError, StartupPacket};
 use crate::{Micros, RequestId};
+use idle_index::{IdleIndex, IdleState};
 use std::collections::BTreeMap;
 
-/// A connection that has made requests may be closed to free capacity after it has been idle for this long.
-const EVICTABLE_AFTER_IDLE: Micros = 2_000_000;
-/// A connection that has made no request may be closed to free capacity after it has been idle for this long.
-const EVICTABLE_WITHOUT_REQUEST_AFTER: Micros = 200_000;
 /// The reply to an SSLRequest or GSSENCRequest: encryption is not supported.
 const ENCRYPTION_NOT_SUPPORTED: &[u8] = b"N";
 
@@ -51,6 +49,7 @@
 pub struct ConnectionManager<P: Protocol> {
     protocol: P,
     connections: BTreeMap<ClientId, Connection<P>>,
+    idle: IdleIndex,
     service: ServiceState,
     /// Whether connections are closed as soon as they are idle.
     closing: bool,
@@ -66,6 +65,7 @@
         ConnectionManager {
             protocol,
             connections: BTreeMap::new(),
+            idle: IdleIndex::default(),
             service: ServiceState::Starting,
             closing: false,
             reordered_bytes: 0,
@@ -87,6 +87,7 @@
         for id in self.connection_ids() {
             self.advance(registry, now, id, &mut effects);
             self.close_if_ended(registry, now, id, &mut effects);
+            self.update_idle(id);
         }
         effects
     }
@@ -113,28 +114,21 @@
     /// The connection to close first to free capacity, among those that have been idle long enough: those
     /// that have made no request come first, then those that have been idle longest.
     pub fn best_eviction_candidate(&self, now: Micros) -> Option<EvictionCandidate> {
-        let idle = self.connections.iter().filter(|(_, connection)| connection.is_idle());
-        let evictable = idle.filter_map(|(id, connection)| {
-            let idle_for = now.saturating_sub(connection.idle_since);
-            let required = match connection.has_requested {
-                true => EVICTABLE_AFTER_IDLE,
-                false => EVICTABLE_WITHOUT_REQUEST_AFTER,
-            };
-            let never_requested = !connection.has_requested;
-            (idle_for >= required).then_some(EvictionCandidate { never_requested, idle_for, client: *id })
-        });
-        evictable.max()
+        self.idle.eviction_candidate(now)
     }
 
     /// The connections that have made a request; their clients may keep them open indefinitely.
     pub fn retained_connections(&self) -> RetainedConnections {
-        let retained = self.connections.iter().filter(|(_, connection)| connection.has_requested);
-        let idle = retained.clone().filter(|(_, connection)| connection.is_idle());
-        let evictable = idle.map(|(id, connection)| EvictableConnection {
-            evictable_at: connection.idle_since + EVICTABLE_AFTER_IDLE,
-            client: *id,
+        self.idle.retained()
+    }
+
+    /// Records in the index of idle connections what has become of a connection.
+    fn update_idle(&mut self, id: ClientId) {
+        let state = self.connections.get(&id).map(|connection| IdleState {
+            has_requested: connection.has_requested,
+            idle_since: connection.is_idle().then_some(connection.idle_since),
         });
-        RetainedConnections { count: retained.count(), next_evictable: evictable.min() }
+        self.idle.update(id, state);
     }
 
     /// Restarts the idle time of a connection on which part of a command has arrived.
@@ -142,11 +136,13 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.idle_since = now;
         }
+        self.update_idle(id);
     }
 
     /// Removes a connection that the host has closed between requests.
     pub fn remove_connection(&mut self, id: ClientId) {
         self.connections.remove(&id);
+        self.update_idle(id);
     }
 
     /// Handles an event on a client connection that the reactor thread has reported.
@@ -173,6 +169,7 @@
             }
             _ => {}
         }
+        self.update_idle(id);
         effects
     }
 
@@ -259,6 +256,7 @@
         self.advance(registry, now, id, &mut effects);
         self.close_if_ended(registry, now, id, &mut effects);
         self.close_if_idle(id, &mut effects);
+        self.update_idle(id);
         effects
     }
 
