The soak floods one proxy in one of three runs

Change: Action::Flood plays the flood of a drawn seed on the platform's listener for 5 s, beside everything else; its draws have a stream of their own, so the other draws of a seed are as before.

--- a/soak/src/actions.rs
+++ b/soak/src/actions.rs
@@ -1,19 +1,23 @@
 //! Applies the actions of a scenario to processes, members and discovery.
 
 use crate::discovery::{Agent, AgentMode, ListedMember};
+use crate::flood::Play;
+use crate::flood::flooder::FloodCounts;
 use crate::history::{MS, Micros, SECOND};
 use crate::member::{Member, MemberFault};
 use crate::run::{Followup, ROTATION_DELAY, Run};
 use crate::scenario::Action;
 use rustix::process::Signal;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Time from a reload until the agent at the old discovery address resets its open calls.
 const OLD_AGENT_LIFETIME: Micros = 1500 * MS;
 /// Time between SIGSTOP and SIGCONT of the planted long stop.
 const PLANTED_STOP: Micros = 4 * SECOND;
+/// Pause between two checks whether a flood is to end.
+const FLOOD_STEP: Duration = Duration::from_millis(5);
 
 impl Run<'_> {
     /// Performs an action of the scenario.
@@ -68,6 +72,7 @@
                     clients.iter().for_each(|clients| clients.hold_idle_connections(proxy, connections))
                 });
             }
+            Action::Flood { proxy, seed, duration } => self.flood(proxy, seed, duration),
             Action::PlantSwallowedChanges => {
                 let swallows = |agent: &Arc<Agent>| agent.swallows_changes.store(true, Ordering::SeqCst);
                 self.agents.iter().for_each(swallows);
@@ -82,6 +87,21 @@
         Ok(())
     }
 
+    /// Starts a flood of a proxy's listener that ends after `duration`, or with the run.
+    fn flood(&self, proxy: usize, seed: u64, duration: Micros) {
+        let Some(flood) = Play::draw(seed).flood else { return };
+        let (address, is_over) = (self.proxies[proxy].address, Arc::new(AtomicBool::new(false)));
+        let (ends, run_is_over, clock) = (is_over.clone(), self.is_over.clone(), self.clock);
+        let end = clock.now() + duration;
+        self.spawn(move || flood.run(address, seed, &is_over, &FloodCounts::default()));
+        self.spawn(move || {
+            while clock.now() < end && !run_is_over.load(Ordering::SeqCst) {
+                std::thread::sleep(FLOOD_STEP);
+            }
+            ends.store(true, Ordering::SeqCst);
+        });
+    }
+
     fn change_listed(&self, now: Micros, member: usize, change: impl FnOnce(&mut ListedMember)) {
         self.directory.change(now, &self.history, member, change);
     }
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -87,6 +87,8 @@
     PauseProcess { proxy: usize, pause: Micros },
     /// Opens idle connections that exhaust a proxy's descriptors, and holds them until the end of the run.
     FillDescriptors { proxy: usize },
+    /// Sends the messages of the flood of a seed to a proxy at full speed, for this time.
+    Flood { proxy: usize, seed: u64, duration: Micros },
     /// Planted: agents don't send changes that count as notified.
     PlantSwallowedChanges,
     /// Planted: a member answers with values of other requests.
@@ -97,6 +99,11 @@
     PlantCrash,
 }
 
+/// The stream of the draws of floods.
+const FLOOD_STREAM: u64 = 2;
+/// The length of a flood.
+const FLOOD_TIME: Micros = 5 * SECOND;
+
 /// The settings and actions of a run, drawn from its seed.
 pub struct Scenario {
     /// The seed.
@@ -155,6 +162,7 @@
         // Without this limit, the clients of many proxies overload the members, whatever the proxies do.
         scenario.clients = scenario.clients.min(MAX_CLIENTS / scenario.proxies);
         scenario.draw_actions(&mut draws);
+        scenario.draw_flood(&mut Draws::new(seed, FLOOD_STREAM));
         scenario
     }
 
@@ -199,6 +207,18 @@
         self.actions.retain(|(at, _)| *at < end);
     }
 
+    /// Draws a flood of one proxy in one of three runs. Its draws are apart from the others, which stay as they
+    /// were before there were floods.
+    fn draw_flood(&mut self, draws: &mut Draws) {
+        if !draws.once_in(3) {
+            return;
+        }
+        let (proxy, seed) = (self.draw_proxy(draws), draws.below(1 << 32));
+        let at = draws.between(2 * SECOND, self.duration - SECOND);
+        self.actions.push((at, Action::Flood { proxy, seed, duration: FLOOD_TIME }));
+        self.actions.sort_by_key(|(at, _)| *at);
+    }
+
     fn draw_proxy(&self, draws: &mut Draws) -> usize {
         draws.below(self.proxies as u64) as usize
     }
