--- a/src/server/inbox/mod.rs
+++ b/src/server/inbox/mod.rs
@@ -25,6 +25,10 @@
 /// The most time of one message that counts for its source.
 const MAX_CHARGE: Duration = Duration::from_millis(10);
 
+/// How often the event loop lets other threads run before it sleeps. A sender that is about to send the next
+/// message of a pipeline would have to wake it otherwise, for each of them.
+const MAX_YIELDS: u32 = 16;
+
 /// Why a message was not queued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotQueued {
@@ -69,6 +73,8 @@
     /// The source and the position of the last message that was taken.
     served: Option<(Source, UsedTime)>,
     counts: InboxCounts,
+    /// Whether the event loop waits for a message.
+    is_awaited: bool,
     is_closed: bool,
 }
 
@@ -114,8 +120,12 @@
             return Err(NotQueued::Closed);
         }
         queue.push(source, message);
+        // A notification is a system call, even if nobody waits.
+        let is_awaited = std::mem::take(&mut queue.is_awaited);
         drop(queue);
-        self.0.message_queued.notify_one();
+        if is_awaited {
+            self.0.message_queued.notify_one();
+        }
         Ok(())
     }
 }
@@ -125,21 +135,30 @@
     pub fn take_until(&self, deadline: Option<Instant>) -> Option<Message> {
         let mut queue = self.shared.queue();
         queue.end_turn(self.handled_in.take());
+        let mut yields = 0;
         loop {
-            if let Some((source, message)) = queue.take() {
+            if let Some((source, message)) = queue.take(&self.taken_at) {
                 let was_full = queue.others[source as usize].len() + 1 >= CAPACITY;
                 drop(queue);
                 if was_full {
                     self.shared.place_free.notify_all();
                 }
-                self.taken_at.set(Instant::now());
                 return Some(message);
             }
             let left = deadline.map_or(Duration::MAX, |at| at.saturating_duration_since(Instant::now()));
             if left.is_zero() {
                 return None;
             }
+            if yields < MAX_YIELDS {
+                yields += 1;
+                drop(queue);
+                std::thread::yield_now();
+                queue = self.shared.queue();
+                continue;
+            }
+            queue.is_awaited = true;
             queue = wait(&self.shared.message_queued, queue, left);
+            queue.is_awaited = false;
         }
     }
 
@@ -189,8 +208,8 @@
         }
     }
 
-    /// Takes a message of the source that has used least of the event loop's time.
-    fn take(&mut self) -> Option<(Source, Message)> {
+    /// Takes a message of the source that has used least of the event loop's time, and sets `taken_at`.
+    fn take(&mut self, taken_at: &Cell<Instant>) -> Option<(Source, Message)> {
         let position = |source: &Source| self.clock.position(self.used[*source as usize]);
         let waiting = Source::ALL.into_iter().filter(|source| self.has_message(*source));
         let source = waiting.min_by_key(position)?;
@@ -201,7 +220,8 @@
         }?;
         self.clock.serve(position);
         self.served = Some((source, position));
-        self.counts[source as usize].count_taken(sent_at.elapsed());
+        taken_at.set(Instant::now());
+        self.counts[source as usize].count_taken(taken_at.get() - sent_at);
         Some((source, message))
     }
 
@@ -209,7 +229,9 @@
     fn end_turn(&mut self, spent: Duration) {
         let Some((source, position)) = self.served.take() else { return };
         self.used[source as usize] = position.charged(spent, MAX_CHARGE);
-        self.clients.end_turn(spent);
+        if source == Source::Clients {
+            self.clients.message_handled(spent);
+        }
     }
 }
 
