Counters and log lines name what requests needed and which members that ruled out

Change: the router keeps the needs of a pending request as a value (Needs) and decides by it; needs.NEED.requests, needs.NEED.ruled_out, reads.at_primary and .at_replica; the line "request not served" has the members that each need ruled out. Library and policy tests 225 passed, tests/proxy/operations 5.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -1,6 +1,7 @@
 //! The counters that the admin listener publishes as metrics.
 
 use super::{FinalAnswer, RecordKind};
+use crate::RoutingCounts;
 use std::collections::BTreeMap;
 
 /// The number of requests of one class by their final answer.
@@ -47,6 +48,8 @@
     pub attempts_written: u64,
     /// Requests that have no final answer yet.
     pub pending: usize,
+    /// How the router routed the requests.
+    pub routing: RoutingCounts,
     /// The members, as the router sees them.
     pub members: MemberCounts,
     /// The number of records, by their kind and reason.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -99,6 +99,7 @@
         let EndpointCounts { listed, avoided } = self.router.endpoint_counts();
         Counters {
             pending: self.requests.len(),
+            routing: self.router.routing_counts(),
             members: MemberCounts { listed, unavailable: avoided },
             list_revision: self.list_revision,
             ..self.counters.clone()
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -1,7 +1,7 @@
 //! Records: the events that are both logged and counted by their reason.
 
 use super::ConnectionId;
-use crate::{EndpointId, GiveUpReason, Micros, Outcome, RequestId};
+use crate::{EndpointId, GiveUpReason, Micros, Outcome, PerNeed, RequestId};
 
 /// An event of a request or of a connection to a member, which is logged and counted by its reason.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,6 +31,8 @@
         attempts: u32,
         /// Why the request was not served.
         reason: GiveUpReason,
+        /// How many members each need ruled out when the request was last considered.
+        ruled_out: PerNeed<u64>,
         /// Whether the request was rejected, so that a retry is harmless. Otherwise it failed.
         rejected: bool,
         /// The revision of the endpoint list in use.
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -3,7 +3,7 @@
 
 use super::timers::TimerEvent;
 use super::{Core, Effect, FinalAnswer, NewRequest, Record};
-use crate::{Event, GiveUpReason, Idempotency, Micros, RequestId, process_pause_margin};
+use crate::{Event, GiveUpReason, Idempotency, Micros, PerNeed, RequestId, process_pause_margin};
 use std::sync::Arc;
 
 /// The proxy answers a request this long before the client's deadline, so that the answer arrives in time.
@@ -13,6 +13,20 @@
 /// How long after a request's deadline the reducer answers it, if the router has not done so at the deadline.
 const DEADLINE_GRACE: Micros = 3_000;
 
+/// Why a request is not served.
+pub(super) struct Unserved {
+    pub reason: GiveUpReason,
+    /// How many members each need ruled out when the router last considered the request.
+    pub ruled_out: PerNeed<u64>,
+}
+
+impl From<GiveUpReason> for Unserved {
+    /// The reason of a request that the router was not asked for.
+    fn from(reason: GiveUpReason) -> Self {
+        Unserved { reason, ruled_out: PerNeed::default() }
+    }
+}
+
 /// A request without a final answer yet.
 pub(super) struct PendingRequest<W> {
     pub class: usize,
@@ -60,20 +74,20 @@
         let id = request.id;
         let Some(class) = self.settings.classes.get(request.class) else {
             let answer = FinalAnswer::Failed { maybe_executed: false };
-            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::UnknownClass);
+            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::UnknownClass.into());
         };
         let idempotency = class.idempotency;
         self.counters.received += 1;
         if self.requests.len() >= self.settings.max_pending {
             let answer = FinalAnswer::Rejected { retry_after: 0 };
-            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::TooManyPending);
+            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::TooManyPending.into());
         }
         let client_limit = request.remaining.saturating_sub(ANSWER_MARGIN);
         request.remaining = client_limit.min(self.time_until_shutdown(now));
         // A pipelined request waits for the commands before it, possibly until its deadline has passed.
         if request.remaining == 0 {
             let answer = FinalAnswer::Rejected { retry_after: 0 };
-            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::NoTimeLeft);
+            return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::NoTimeLeft.into());
         }
         request.remaining = request.remaining.max(MIN_REMAINING);
         let deadline = now + request.remaining;
@@ -105,7 +119,7 @@
     pub(super) fn expire_request(&mut self, now: Micros, id: RequestId) {
         let Some(pending) = self.requests.remove(&id) else { return };
         let answer = self.rejection(id, &pending, 0);
-        self.answer_unserved(id, pending.class, pending.attempts, answer, GiveUpReason::Deadline);
+        self.answer_unserved(id, pending.class, pending.attempts, answer, GiveUpReason::Deadline.into());
         self.release_request(now, id);
     }
 
@@ -123,10 +137,10 @@
     }
 
     /// Rejects a pending request, as the router has decided.
-    pub(super) fn reject_request(&mut self, id: RequestId, retry_after: Micros, reason: GiveUpReason) {
+    pub(super) fn reject_request(&mut self, id: RequestId, retry_after: Micros, why: Unserved) {
         if let Some(pending) = self.requests.remove(&id) {
             let answer = self.rejection(id, &pending, retry_after);
-            self.answer_unserved(id, pending.class, pending.attempts, answer, reason);
+            self.answer_unserved(id, pending.class, pending.attempts, answer, why);
         }
     }
 
@@ -152,11 +166,11 @@
     }
 
     /// Fails a pending request, as the router has decided.
-    pub(super) fn fail_request(&mut self, id: RequestId, reason: GiveUpReason) {
+    pub(super) fn fail_request(&mut self, id: RequestId, why: Unserved) {
         if let Some(pending) = self.requests.remove(&id) {
             let maybe_executed = pending.first_maybe_executed_at.is_some();
             let answer = FinalAnswer::Failed { maybe_executed };
-            self.answer_unserved(id, pending.class, pending.attempts, answer, reason);
+            self.answer_unserved(id, pending.class, pending.attempts, answer, why);
         }
     }
 
@@ -167,11 +181,20 @@
         class: usize,
         attempts: u32,
         answer: FinalAnswer<A>,
-        reason: GiveUpReason,
+        why: Unserved,
     ) {
+        let Unserved { reason, ruled_out } = why;
         let rejected = matches!(answer, FinalAnswer::Rejected { .. });
         let list_revision = self.list_revision;
-        self.record(Record::NotServed { request, class, attempts, reason, rejected, list_revision });
+        self.record(Record::NotServed {
+            request,
+            class,
+            attempts,
+            reason,
+            ruled_out,
+            rejected,
+            list_revision,
+        });
         self.answer(request, class, answer);
     }
 
--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use super::jobs::{AttemptOrder, CancelReason, JobPurpose};
+use super::requests::Unserved;
 use super::timers::TimerEvent;
 use super::{Core, Effect};
 use crate::{Action, Event, Micros};
@@ -29,10 +30,12 @@
                 return self.start_attempt(now, order);
             }
             Action::Probe(endpoint) => return self.start_probe(now, endpoint),
-            Action::Reject { request, retry_after, reason } => {
-                self.reject_request(request, retry_after, reason)
+            Action::Reject { request, retry_after, reason, ruled_out } => {
+                self.reject_request(request, retry_after, Unserved { reason, ruled_out });
+            }
+            Action::Fail { request, reason, ruled_out } => {
+                self.fail_request(request, Unserved { reason, ruled_out });
             }
-            Action::Fail { request, reason } => self.fail_request(request, reason),
             Action::Cancel { request, attempt } => {
                 let purpose = JobPurpose::Attempt { request, attempt };
                 let found = self.jobs.iter().find(|(_, job)| job.purpose == purpose);
--- a/src/model/event.rs
+++ b/src/model/event.rs
@@ -1,6 +1,6 @@
 //! Events that a [`Router`](crate::Router) handles, and actions that it requests from its host.
 
-use crate::{AttemptResult, EndpointEntry, EndpointId, LoadReport, Micros, Request, RequestId};
+use crate::{AttemptResult, EndpointEntry, EndpointId, LoadReport, Micros, PerNeed, Request, RequestId};
 
 /// An event for the router.
 #[derive(Clone, Debug)]
@@ -101,6 +101,8 @@
         retry_after: Micros,
         /// Why the request is not served.
         reason: GiveUpReason,
+        /// How many endpoints each need ruled out when the request was last considered.
+        ruled_out: PerNeed<u64>,
     },
     /// Answer a request as failed: it may have been executed.
     Fail {
@@ -108,6 +110,8 @@
         request: RequestId,
         /// Why the request is not served.
         reason: GiveUpReason,
+        /// How many endpoints each need ruled out when the request was last considered.
+        ruled_out: PerNeed<u64>,
     },
     /// Stop waiting for the answer of an attempt.
     Cancel {
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -5,6 +5,7 @@
 
 mod endpoint;
 mod event;
+mod needs;
 mod process_pause;
 mod request;
 mod session;
@@ -15,6 +16,8 @@
     EndpointCounts, EndpointEntry, EndpointId, EndpointState, GroupId, LoadReport, ResponseMetadata, Role,
 };
 pub use event::{Action, Event, GiveUpReason};
+pub(crate) use needs::Needs;
+pub use needs::{PerNeed, RoutingCounts};
 pub use process_pause::process_pause_margin;
 pub use request::{AttemptResult, Class, Idempotency, Outcome, Request, RequestId, Requirement};
 pub use session::SessionInGroup;
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -189,6 +189,13 @@
     let _ = writeln!(text, "members={members}");
     let _ = writeln!(text, "members_unavailable={unavailable}");
     let _ = writeln!(text, "endpoint_list.revision={}", counters.list_revision);
+    let routing = &counters.routing;
+    for ((need, requests), (_, ruled_out)) in routing.requests.named().iter().zip(routing.ruled_out.named()) {
+        let _ = writeln!(text, "needs.{need}.requests={requests}");
+        let _ = writeln!(text, "needs.{need}.ruled_out={ruled_out}");
+    }
+    let _ = writeln!(text, "reads.at_primary={}", routing.reads_at_primary);
+    let _ = writeln!(text, "reads.at_replica={}", routing.reads_at_replica);
     for ServerCounter { name, value } in of_server {
         let _ = writeln!(text, "{name}={value}");
     }
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -2,7 +2,7 @@
 //! request.
 
 use crate::Router;
-use crate::model::{AttemptResult, EndpointState, Idempotency, Outcome, Requirement, Role, SessionInGroup};
+use crate::model::{AttemptResult, EndpointState, Idempotency, Outcome, Role, SessionInGroup};
 use crate::state::{EndpointIndex, Failure, OutstandingAttempt};
 
 impl Router {
@@ -20,7 +20,7 @@
         let is_usable = self.is_usable(index);
         // The answer to a repeated write with an idempotency key holds the commit time of its first run,
         // which may be earlier than the send of this attempt.
-        let is_keyed = matches!(self.settings.classes[attempt.class].idempotency, Idempotency::Keyed { .. });
+        let is_keyed = matches!(attempt.needs.idempotency, Idempotency::Keyed { .. });
         let position_after = (!is_keyed).then_some(attempt.sent_at);
         self.topology.record_response(index, &result, position_after, is_usable, self.now);
         self.apply_clock_changes();
@@ -101,8 +101,7 @@
     /// Records the commit of a served write, which later reads of its session must see. This does not depend
     /// on the request: it may have had its final answer, or its client may have disconnected.
     fn record_commit(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
-        let writes = self.settings.classes[attempt.class].requirement == Requirement::Write;
-        let is_commit = writes && result.outcome == Outcome::Ok;
+        let is_commit = attempt.needs.writes && result.outcome == Outcome::Ok;
         if is_commit && self.settings.remember_commits && attempt.session != 0 {
             let group = self.topology[index].group;
             let position = result.metadata.position.unwrap_or(self.topology.group_time(group, self.now));
@@ -120,13 +119,13 @@
     /// Records why an endpoint could not serve an attempt: it is not the primary, or it has not reached the
     /// position that a read required.
     fn record_not_servable(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
-        let required = match self.settings.classes[attempt.class].requirement {
-            Requirement::Write => return self.topology.record_write_rejected(index, self.now),
-            Requirement::BoundedStaleness(bound) => {
-                self.topology.group_time(self.topology[index].group, attempt.sent_at).saturating_sub(bound)
-            }
-            _ => self.requests.get(&attempt.request).map_or(0, |pending| pending.required_position),
-        };
+        if attempt.needs.writes {
+            return self.topology.record_write_rejected(index, self.now);
+        }
+        let group_time = self.topology.group_time(self.topology[index].group, attempt.sent_at);
+        let pending = self.requests.get(&attempt.request);
+        let position = pending.map_or(0, |pending| pending.needs.position);
+        let required = position.max(attempt.needs.position_of_bound(group_time));
         // 0 also stands for a request that has had its final answer: its requirement is no longer known.
         if required > 0 {
             self.topology.record_position_not_reached(index, required, self.now);
@@ -142,7 +141,6 @@
         unloaded: f64,
     ) {
         let Some(pending) = self.requests.get_mut(&result.request) else { return };
-        let class = &self.settings.classes[attempt.class];
         let outcome = result.outcome;
         pending.in_flight = None;
         pending.is_rejected_by_chance = false;
@@ -153,12 +151,12 @@
             pending.record_possible_run(attempt.sent_at);
         }
         // The primary may get another attempt after an error, as no other endpoint can serve the request.
-        if outcome != Outcome::Error || class.role() == Role::Replica {
+        if outcome != Outcome::Error || pending.needs.role() == Role::Replica {
             pending.tried.push(index);
         }
         // Lost writes that must not run again are given up, not retried. If they were charged, they would use
         // up the retries of reads.
-        let is_free = pending.must_not_run_again(class);
+        let is_free = pending.must_not_run_again();
         if result.finished {
             self.finish(result.request);
         } else if outcome == Outcome::RejectedByMember && self.rejects_by_chance(index) {
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -5,7 +5,7 @@
 
 use super::Selection;
 use crate::Router;
-use crate::model::{Micros, RequestId, Requirement};
+use crate::model::{Micros, RequestId};
 use crate::state::EndpointIndex;
 
 /// The shortest time between the last attempt of one search for a group's primary and the first of the
@@ -61,7 +61,7 @@
         }
         // Where endpoints serve stale data, a member that is not the primary does not reject a read, so only
         // writes and probes search.
-        let is_write = self.settings.classes[class].requirement == Requirement::Write;
+        let is_write = pending.needs.writes;
         let is_round_due = self.topology.group(group).is_some_and(|group| self.now >= group.next_search_at);
         if (!is_write && self.settings.endpoints_serve_stale()) || (starts_round && !is_round_due) {
             return Selection::Hold;
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -3,7 +3,9 @@
 
 use super::Selection;
 use crate::Router;
-use crate::model::{Class, GroupId, Idempotency, Micros, RequestId, Requirement, Role, process_pause_margin};
+use crate::model::{
+    GroupId, Idempotency, Micros, Needs, PerNeed, RequestId, Requirement, Role, process_pause_margin,
+};
 use crate::state::{EndpointIndex, PendingRequest};
 
 /// The reads of a class are long if their unloaded latency exceeds this multiple of the shortest unloaded
@@ -70,8 +72,7 @@
     /// Returns an ejected member whose trial is due, if this read may be used for one: it is idempotent
     /// and has no attempt yet, the trial budget suffices, and the group has a healthy member for its retry.
     fn due_trial(&self, pending: &PendingRequest, available: &[EndpointIndex]) -> Option<EndpointIndex> {
-        let idempotency = self.settings.classes[pending.request.class].idempotency;
-        let is_first = pending.attempts == 0 && idempotency == Idempotency::Idempotent;
+        let is_first = pending.attempts == 0 && pending.needs.idempotency == Idempotency::Idempotent;
         let is_due = |member: &EndpointIndex| self.is_trial_due(*member) && self.may_serve(pending, *member);
         let may_try = is_first && self.trial_budget >= 1.0 && self.any_healthy(pending.request.group);
         available.iter().copied().find(is_due).filter(|_| may_try)
@@ -118,20 +119,51 @@
 
     /// Returns the position that an endpoint must have reached to serve a read; 0 if any position suffices.
     fn required_position(&self, pending: &PendingRequest) -> Micros {
-        let class = &self.settings.classes[pending.request.class];
+        pending.needs.position.max(self.position_of_bound(pending))
+    }
+
+    /// Returns the position that the staleness bound of a request demands now; 0 without a bound.
+    ///
+    /// Where endpoints serve stale data, the bound is tightened by a margin. If the process is paused between
+    /// the selection and the write of the request, the data gets older meanwhile.
+    fn position_of_bound(&self, pending: &PendingRequest) -> Micros {
         let group_time = self.topology.group_time(pending.request.group, self.now);
-        pending.required_position_at(group_time, class) + self.staleness_margin(class)
+        let bound = pending.needs.staleness_bound.filter(|_| self.settings.endpoints_serve_stale());
+        pending.needs.position_of_bound(group_time) + bound.map_or(0, process_pause_margin)
+    }
+
+    /// Returns the needs of a request that an endpoint does not meet now, as far as this router knows.
+    fn unmet_needs(&self, pending: &PendingRequest, index: EndpointIndex) -> PerNeed<bool> {
+        if self.topology.role(index) == Role::Primary {
+            return PerNeed::default();
+        }
+        let position = self.expected_position(index);
+        PerNeed {
+            role: pending.needs.role() == Role::Primary,
+            position: position < pending.needs.position,
+            bound: position < self.position_of_bound(pending),
+        }
     }
 
-    /// Returns the time by which the staleness bound of a class is tightened where endpoints serve stale
-    /// data. If the process is paused between the selection and the write of the request, the data gets
-    /// older meanwhile.
-    fn staleness_margin(&self, class: &Class) -> Micros {
-        match class.requirement {
-            Requirement::BoundedStaleness(bound) if self.settings.endpoints_serve_stale() => {
-                process_pause_margin(bound)
+    /// Counts the usable endpoints that the needs of a request rule out now.
+    pub(super) fn count_ruled_out(&mut self, id: RequestId) {
+        let pending = &self.requests[&id];
+        let mut ruled_out = PerNeed::default();
+        for member in self.topology.members(pending.request.group) {
+            if self.is_usable(*member) {
+                ruled_out.count(self.unmet_needs(pending, *member));
             }
-            _ => 0,
+        }
+        self.routing.ruled_out += ruled_out;
+        self.requests.get_mut(&id).expect("checked by the caller").ruled_out = ruled_out;
+    }
+
+    /// Counts an attempt of a request that a replica may serve, by the role of its endpoint.
+    pub(super) fn count_read(&mut self, needs: &Needs, index: EndpointIndex) {
+        match (needs.role(), self.topology.role(index)) {
+            (Role::Replica, Role::Primary) => self.routing.reads_at_primary += 1,
+            (Role::Replica, Role::Replica) => self.routing.reads_at_replica += 1,
+            (Role::Primary, _) => {}
         }
     }
 
@@ -153,9 +185,7 @@
     /// Returns whether a read may be sent to an endpoint: its data is fresh enough, or the endpoint
     /// rejects the read otherwise. Applies to trials too.
     fn may_serve(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
-        !self.settings.endpoints_serve_stale()
-            || self.topology.role(index) == Role::Primary
-            || self.expected_position(index) >= self.required_position(pending)
+        !self.settings.endpoints_serve_stale() || !self.unmet_needs(pending, index).any()
     }
 
     /// Selects the endpoint with the fewest pending attempts among the available members that may serve a
@@ -190,10 +220,10 @@
     fn tier(&self, pending: &PendingRequest, index: EndpointIndex) -> Tier {
         if self.topology.is_primary_of(pending.request.group, index) {
             Tier::Primary
-        } else if self.expected_position(index) >= self.required_position(pending) {
-            Tier::FreshReplica
-        } else {
+        } else if self.unmet_needs(pending, index).any() {
             Tier::LaggingReplica
+        } else {
+            Tier::FreshReplica
         }
     }
 
@@ -205,7 +235,7 @@
         available: &[EndpointIndex],
         accepting: &[EndpointIndex],
     ) -> Vec<Rank> {
-        let is_long = self.is_long_read(read.request.class);
+        let is_long = self.is_long_read(read.request.class) && !read.needs.has_freshness();
         let long_read_replica = self.long_read_replica(read.request.group);
         // Plain least-pending selection breaks ties in turn among all endpoints. Here, endpoints without a
         // connection take no turns if enough others have one, unless they are warming up: the slow start
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -7,7 +7,7 @@
 use super::primary::SEARCH_INTERVAL;
 use crate::Router;
 use crate::model::{
-    Action, GiveUpReason, GroupId, Idempotency, Micros, Request, RequestId, Requirement, Role,
+    Action, GiveUpReason, GroupId, Idempotency, Micros, Needs, PerNeed, Request, RequestId, Role,
     process_pause_margin,
 };
 use crate::state::{EndpointIndex, OutstandingAttempt, PendingRequest};
@@ -40,7 +40,8 @@
         self.trial_budget = (self.trial_budget + health::TRIAL_SHARE).min(1.0);
         let Some(class) = self.settings.classes.get(request.class) else {
             let reason = GiveUpReason::UnknownClass;
-            return self.actions.push(Action::Fail { request: request.id, reason });
+            let ruled_out = PerNeed::default();
+            return self.actions.push(Action::Fail { request: request.id, reason, ruled_out });
         };
         self.traffic.offered[request.class].record(self.now);
         let retry_value = class.late_value + (1.0 - class.late_value) * RETRY_ON_TIME_CHANCE;
@@ -56,8 +57,10 @@
         let group_time = self.topology.group_time(request.group, self.now);
         let required_position =
             self.commits.required_position(&request, &self.settings, group_time, self.now - self.created_at);
+        let needs = Needs::new(class, required_position);
+        self.routing.requests.count(PerNeed::of(&needs));
         let pending = PendingRequest::new(request, class, self.now);
-        self.requests.insert(id, PendingRequest { priority, required_position, shed_draw, ..pending });
+        self.requests.insert(id, PendingRequest { priority, needs, shed_draw, ..pending });
         self.advance(id);
     }
 
@@ -65,7 +68,7 @@
     /// request, or gives its final answer.
     pub(super) fn advance(&mut self, id: RequestId) {
         let Some(pending) = self.requests.get(&id) else { return };
-        let (class, useful_until) = (pending.request.class, pending.useful_until);
+        let (role, useful_until) = (pending.needs.role(), pending.useful_until);
         if self.now >= useful_until {
             return self.give_up(id, GiveUpReason::NoTimeLeft);
         }
@@ -77,7 +80,8 @@
             Ok(false) => return self.hold(id),
             Err(reason) => return self.give_up(id, reason),
         }
-        let selection = match self.settings.classes[class].role() {
+        self.count_ruled_out(id);
+        let selection = match role {
             Role::Primary => self.select_primary(id),
             Role::Replica => self.select_replica(id),
         };
@@ -118,7 +122,7 @@
     pub(super) fn retry_after_local_error(&mut self, id: RequestId, index: EndpointIndex) {
         let Some(pending) = self.requests.get_mut(&id) else { return };
         pending.uncount_attempt();
-        match self.settings.classes[pending.request.class].role() {
+        match pending.needs.role() {
             Role::Replica => {
                 pending.tried.push(index);
                 self.advance(id);
@@ -134,7 +138,7 @@
     /// The reason why the request must be given up.
     fn check_may_send(&self, pending: &PendingRequest) -> Result<(), GiveUpReason> {
         let members = self.topology.members(pending.request.group);
-        let may_run_again = |first_run_at| match self.settings.classes[pending.request.class].idempotency {
+        let may_run_again = |first_run_at| match pending.needs.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::Keyed { window, .. } => {
                 let usable_window = (window as f64 * RETRY_WINDOW_SHARE) as Micros;
@@ -158,8 +162,10 @@
     fn send(&mut self, id: RequestId, index: EndpointIndex, exploratory: bool) {
         let Some(pending) = self.requests.get(&id) else { return };
         let Request { class, session, .. } = pending.request;
+        let needs = pending.needs;
         let timeout = self.attempt_timeout(pending, exploratory);
-        let start_within = self.start_within(class, index);
+        let start_within = self.start_within(&needs, index);
+        self.count_read(&needs, index);
         self.charge_slow_start(index, class);
         let attempt = self.requests.get_mut(&id).expect("found above").start_attempt();
         self.sends += 1;
@@ -168,7 +174,7 @@
         endpoint.last_sent_at = self.now;
         endpoint.next_trial_at = endpoint.next_trial_at.max(self.now + health::TRIAL_INTERVAL);
         let sent_at = self.now;
-        endpoint.add_outstanding(OutstandingAttempt { request: id, attempt, class, session, sent_at });
+        endpoint.add_outstanding(OutstandingAttempt { request: id, attempt, class, session, needs, sent_at });
         self.actions.push(Action::Send { request: id, endpoint: endpoint.id, timeout, start_within });
     }
 
@@ -181,7 +187,7 @@
     /// would retry a request that is about to be answered.
     fn attempt_timeout(&self, pending: &PendingRequest, exploratory: bool) -> Micros {
         let unloaded = self.unloaded_latency(pending.request.class);
-        let limit = match self.settings.classes[pending.request.class].idempotency {
+        let limit = match pending.needs.idempotency {
             Idempotency::AtMostOnce => f64::INFINITY,
             _ if exploratory => unloaded * EXPLORATORY_TIMEOUT_MULTIPLE,
             Idempotency::Keyed { window, .. } => {
@@ -196,21 +202,21 @@
     ///
     /// The wait is limited only where endpoints serve stale data. While a read waits, the data of its
     /// replica can become older than the read allows, and the primary can step down and serve stale data.
-    fn start_within(&self, class: usize, index: EndpointIndex) -> Micros {
-        let requirement = self.settings.classes[class].requirement;
-        if !self.settings.endpoints_serve_stale() {
+    fn start_within(&self, needs: &Needs, index: EndpointIndex) -> Micros {
+        if !self.settings.endpoints_serve_stale() || !needs.has_freshness() {
             return Micros::MAX;
         }
-        match (requirement, self.topology.role(index)) {
-            (Requirement::Any | Requirement::Write, _) => Micros::MAX,
-            (_, Role::Primary) => ANSWER_VALIDITY / 2,
-            (Requirement::BoundedStaleness(bound), Role::Replica) => {
+        match (self.topology.role(index), needs.staleness_bound) {
+            (Role::Primary, _) => ANSWER_VALIDITY / 2,
+            // A search for the primary: a replica rejects the write, and with it all that it came with.
+            (Role::Replica, _) if needs.writes => Micros::MAX,
+            (Role::Replica, None) => Micros::MAX,
+            (Role::Replica, Some(bound)) => {
                 let clock = self.topology.clock_of(index);
                 let position = self.topology[index].replication.known_position(clock, self.now);
                 let group_time = clock.group_time(self.now).unwrap_or(Micros::MAX);
                 (position + bound).saturating_sub(group_time.saturating_add(process_pause_margin(bound)))
             }
-            (Requirement::ReadYourWrites | Requirement::Latest, Role::Replica) => Micros::MAX,
         }
     }
 
@@ -220,13 +226,14 @@
         let Some(pending) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[pending.request.class];
         let has_not_run = pending.first_run_at.is_none() && pending.in_flight.is_none();
-        if has_not_run || class.idempotency.is_repeatable_anywhere() {
+        let ruled_out = pending.ruled_out;
+        if has_not_run || pending.needs.idempotency.is_repeatable_anywhere() {
             let spread = class.latency_objective / 2;
             let wait = (spread + self.random.below(spread)).min(self.settings.max_retry_after);
             let retry_after = if self.settings.retry_after { wait } else { 0 };
-            self.actions.push(Action::Reject { request: id, retry_after, reason });
+            self.actions.push(Action::Reject { request: id, retry_after, reason, ruled_out });
         } else {
-            self.actions.push(Action::Fail { request: id, reason });
+            self.actions.push(Action::Fail { request: id, reason, ruled_out });
         }
         self.finish(id);
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,7 +1,7 @@
 //! The router: its state, and the dispatch of events to the policy.
 
 use crate::estimators::{FailureRate, Traffic};
-use crate::model::{Action, EndpointCounts, Event, Micros, RequestId, Settings};
+use crate::model::{Action, EndpointCounts, Event, Micros, RequestId, RoutingCounts, Settings};
 use crate::policy;
 use crate::random::RandomSource;
 use crate::state::{PendingRequest, ProbeSchedule, ServingCapacity, SessionCommits, Topology, UsableCounts};
@@ -29,6 +29,7 @@
     pub(crate) requests: BTreeMap<RequestId, PendingRequest>,
     pub(crate) commits: SessionCommits,
     pub(crate) traffic: Traffic,
+    pub(crate) routing: RoutingCounts,
     /// The moving failure rate of the attempts at all endpoints together.
     pub(crate) failure_rate: FailureRate,
 
@@ -104,6 +105,11 @@
         actions.append(&mut self.actions);
     }
 
+    /// Returns how the requests were routed.
+    pub fn routing_counts(&self) -> RoutingCounts {
+        self.routing
+    }
+
     /// Returns how many endpoints the list names, and how many of those the router currently avoids.
     pub fn endpoint_counts(&self) -> EndpointCounts {
         self.topology.counts()
--- a/src/server/event_log.rs
+++ b/src/server/event_log.rs
@@ -73,11 +73,12 @@
                     elapsed_us = elapsed, list_revision, left_out, "attempt failed"
                 );
             }
-            Record::NotServed { attempts, reason, rejected, list_revision, .. } => {
+            Record::NotServed { attempts, reason, ruled_out, rejected, list_revision, .. } => {
                 let answer = if *rejected { "rejected" } else { "failed" };
                 tracing::info!(
                     target: LOG_TARGET, request, class, answer, reason = reason.name(), attempts,
-                    list_revision, left_out, "request not served"
+                    ruled_out_role = ruled_out.role, ruled_out_position = ruled_out.position,
+                    ruled_out_bound = ruled_out.bound, list_revision, left_out, "request not served"
                 );
             }
             Record::ConnectionClosed { connection, endpoint, reason } => {
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -2,7 +2,7 @@
 
 use super::PerRole;
 use crate::estimators::{FailureRate, Occupancy, QueueingDelay, ReplicationEstimate};
-use crate::{Class, EndpointEntry, EndpointId, EndpointState, GroupId, Micros, Outcome, RequestId};
+use crate::{Class, EndpointEntry, EndpointId, EndpointState, GroupId, Micros, Needs, Outcome, RequestId};
 use std::fmt;
 
 /// An attempt whose outcome is not known yet.
@@ -12,6 +12,7 @@
     pub(crate) attempt: u32,
     pub(crate) class: usize,
     pub(crate) session: u64,
+    pub(crate) needs: Needs,
     pub(crate) sent_at: Micros,
 }
 
--- a/src/state/pending_request.rs
+++ b/src/state/pending_request.rs
@@ -1,7 +1,7 @@
 //! The router's state of a request without a final answer.
 
 use super::EndpointIndex;
-use crate::{Class, Idempotency, Micros, Request, Requirement};
+use crate::{Class, Idempotency, Micros, Needs, PerNeed, Request};
 
 /// A retry that waits until the retry budget covers it.
 #[derive(Clone, Copy)]
@@ -22,8 +22,10 @@
     /// class gives late answers no value. No attempt starts after that time, but one that has started is
     /// awaited until the deadline.
     pub(crate) useful_until: Micros,
-    /// The position that an endpoint must have reached, fixed at the arrival of the request; 0 for none.
-    pub(crate) required_position: Micros,
+    /// What the request needs of the endpoint that executes it.
+    pub(crate) needs: Needs,
+    /// How many endpoints each need ruled out when the request was last considered.
+    pub(crate) ruled_out: PerNeed<u64>,
     /// The priority weight, reduced for retries by the client and for tenants beyond their quota.
     pub(crate) priority: f64,
     /// A random number between 0 and 1, drawn at the arrival. Among requests of equal priority, those with
@@ -64,23 +66,14 @@
         PendingRequest { request, deadline, useful_until, ..PendingRequest::default() }
     }
 
-    /// The position that an endpoint must have reached to serve the request when the group's clock reads
-    /// `group_time`; 0 for none.
-    pub(crate) fn required_position_at(&self, group_time: Micros, class: &Class) -> Micros {
-        match class.requirement {
-            Requirement::BoundedStaleness(bound) => group_time.saturating_sub(bound),
-            _ => self.required_position,
-        }
-    }
-
     /// Records that an attempt that was sent at this time may have run.
     pub(crate) fn record_possible_run(&mut self, sent_at: Micros) {
         self.first_run_at = Some(self.first_run_at.unwrap_or(sent_at).min(sent_at));
     }
 
-    /// Whether the request may have run, and its class does not allow it to run again.
-    pub(crate) fn must_not_run_again(&self, class: &Class) -> bool {
-        self.first_run_at.is_some() && class.idempotency == Idempotency::AtMostOnce
+    /// Whether the request may have run, and must not run again.
+    pub(crate) fn must_not_run_again(&self) -> bool {
+        self.first_run_at.is_some() && self.needs.idempotency == Idempotency::AtMostOnce
     }
 
     /// Records that an attempt is sent, and returns its number.
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -3,7 +3,7 @@
 use super::endpoint_table::EndpointTable;
 use super::*;
 use crate::estimators::GroupClock;
-use crate::{EndpointEntry, EndpointId, EndpointState, Micros, Role, SessionInGroup};
+use crate::{EndpointEntry, EndpointId, EndpointState, Micros, Needs, Role, SessionInGroup};
 
 const SECOND: Micros = 1_000_000;
 
@@ -46,7 +46,14 @@
     let mut table = EndpointTable::default();
     let index = add(&mut table, 1, 0);
     table.set_state(index, EndpointState::Removed);
-    let attempt = OutstandingAttempt { request: 1, attempt: 0, class: 0, session: 0, sent_at: 0 };
+    let attempt = OutstandingAttempt {
+        request: 1,
+        attempt: 0,
+        class: 0,
+        session: 0,
+        needs: Needs::default(),
+        sent_at: 0,
+    };
     table[index].outstanding.push(attempt);
     assert_ne!(add(&mut table, 2, 100 * SECOND), index);
 }
--- a/tests/policy/rules.rs
+++ b/tests/policy/rules.rs
@@ -323,8 +323,9 @@
 fn the_checker_detects_rejections_of_requests_that_may_have_run() {
     let reject_failures = |actions: &mut Vec<Action>| {
         for a in actions {
-            if let Action::Fail { request, reason } = a {
-                *a = Action::Reject { request: *request, retry_after: 0, reason: *reason };
+            if let Action::Fail { request, reason, ruled_out } = a {
+                let (request, reason, ruled_out) = (*request, *reason, *ruled_out);
+                *a = Action::Reject { request, retry_after: 0, reason, ruled_out };
             }
         }
     };
--- a/tests/proxy/operations.rs
+++ b/tests/proxy/operations.rs
@@ -56,6 +56,14 @@
     members=1
     members_unavailable=0
     endpoint_list.revision=1
+    needs.role.requests=3
+    needs.role.ruled_out=0
+    needs.position.requests=0
+    needs.position.ruled_out=0
+    needs.bound.requests=0
+    needs.bound.ruled_out=0
+    reads.at_primary=2
+    reads.at_replica=1
     attempts_failed.error=1
     not_served.may_have_run=1
     member_connections_closed.job_cancelled=1
