--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -5,9 +5,9 @@
 
 pub use simple_query::{ParsedQuery, SimpleQuery};
 
-use crate::Micros;
 use crate::exchange::MemberRequest;
 use crate::pg::{ProtocolError, StartupPacket};
+use crate::{ExecutedStatement, Micros};
 
 /// The id of a client connection; ids are never reused.
 pub type ClientId = u64;
@@ -35,19 +35,16 @@
 
 /// A client's request and its routing properties, parsed from the statement.
 pub struct ParsedRequest {
-    /// The index of the request class in the settings.
+    /// The index of the class under which the request is accounted.
     pub class: usize,
+    /// The statements that the request executes, each class and session once.
+    pub statements: Vec<ExecutedStatement>,
     /// Whether the request changes data.
     pub writes: bool,
+    /// The sessions that it changes data for; 0 stands for an unknown one.
+    pub written_sessions: Vec<u64>,
     /// The group that stores the data of the request.
     pub group: u32,
-    /// The id of the session; 0 for none.
-    pub session: u64,
-    /// The replication position that a read must see, as time on the core's clock.
-    pub required_position: Option<Micros>,
-    /// If none of the session's commits is known: the time on the core's clock from which on its commits
-    /// would be known, because this process has run since then.
-    pub commits_known_since: Option<Micros>,
     /// Whether the request must run at most once.
     pub at_most_once: bool,
     /// Whether this is a retry by the client.
--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -5,7 +5,7 @@
 use crate::exchange::MemberRequest;
 use crate::pg::sqlstate;
 use crate::pg::statement::{self, StatementError, StatementFields, Timeout};
-use crate::{Idempotency, Micros, Requirement, Settings};
+use crate::{ExecutedStatement, Idempotency, Micros, Requirement, Settings};
 use std::ops::Range;
 
 /// The greatest length of the `id` in a comment.
@@ -106,13 +106,16 @@
         if !(1..=MAX_TIMEOUT_MS).contains(&millis) {
             return Err(InvalidQuery::TimeoutOutOfRange);
         }
+        let group = fields.group.ok_or(InvalidQuery::MissingGroup)?;
+        let session = fields.key.map(statement::session_id).ok_or(InvalidQuery::MissingKey)?;
+        let min_position = fields.min_position_ms.map(from_unix_ms);
+        let executed = ExecutedStatement { min_position, ..ExecutedStatement::new(class, session) };
         let request = ParsedRequest {
             class,
+            statements: vec![executed],
             writes,
-            group: fields.group.ok_or(InvalidQuery::MissingGroup)?,
-            session: fields.key.map(statement::session_id).ok_or(InvalidQuery::MissingKey)?,
-            required_position: fields.min_position_ms.map(from_unix_ms),
-            commits_known_since: None,
+            written_sessions: if writes { vec![session] } else { Vec::new() },
+            group,
             at_most_once,
             is_retry: fields.is_retry,
             external_id: external_id.ok_or(InvalidQuery::MissingExternalId)?.to_vec(),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -72,11 +72,10 @@
     pub(super) fn admit_request(&mut self, now: Micros, new_request: NewRequest<W>) {
         let NewRequest { mut request, work } = new_request;
         let id = request.id;
-        let Some(class) = self.settings.classes.get(request.class) else {
+        let Some(idempotency) = self.settings.idempotency_of(&request) else {
             let answer = FinalAnswer::Failed { maybe_executed: false };
             return self.answer_unserved(id, request.class, 0, answer, GiveUpReason::UnknownClass.into());
         };
-        let idempotency = class.idempotency;
         self.counters.received += 1;
         if self.requests.len() >= self.settings.max_pending {
             let answer = FinalAnswer::Rejected { retry_after: 0 };
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::{
-    Class, EndpointEntry, EndpointId, EndpointState, Idempotency, LoadReport, Outcome, Request, Requirement,
-    ResponseMetadata, Role, StaleReadBehavior,
+    Class, EndpointEntry, EndpointId, EndpointState, ExecutedStatement, Idempotency, LoadReport, Outcome,
+    Request, Requirement, ResponseMetadata, Role, StaleReadBehavior,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -71,7 +71,8 @@
 }
 
 fn receive_request(core: &mut TestCore, now: Micros, id: RequestId, class: usize) -> Effects {
-    let request = Request { id, class, group: 1, remaining: 1900 * MS, ..Default::default() };
+    let request = Request::executing(ExecutedStatement::new(class, 0));
+    let request = Request { id, group: 1, remaining: 1900 * MS, ..request };
     core.step(now, Input::RequestReceived(NewRequest { request, work: Arc::new(()) }))
 }
 
@@ -211,6 +212,26 @@
     );
 }
 
+/// Guards against a second execution of a statement whose request is accounted under a class that allows it.
+#[test]
+fn request_is_retried_only_as_each_of_its_statements_allows() {
+    for (other, expected) in [(KEYED_WRITE, Some(125 * MS)), (AT_MOST_ONCE_WRITE, None)] {
+        let mut core = core(true);
+        let read = Request::executing(ExecutedStatement::new(BOUNDED_READ, 0));
+        let mut request = Request { id: 1, group: 1, remaining: 1900 * MS, ..read };
+        request.statements.push(ExecutedStatement::new(other, 0));
+        let received = Input::RequestReceived(NewRequest { request, work: Arc::new(()) });
+        let first = StartedAttempt::only_one_in(&core.step(START, received));
+        let effects = core.step(START + 100 * MS, first.finished(Outcome::Error, Role::Primary, START));
+        let limit = effects.iter().find_map(|effect| match effect {
+            Effect::StartJob { spec: JobSpec::Attempt { start_within, .. }, .. } => Some(*start_within),
+            _ => None,
+        });
+        // A read with a bound starts within 50 ms at the primary, which may step down.
+        assert_eq!(limit, expected.map(|window| window.min(50 * MS)), "class {other}");
+    }
+}
+
 #[test]
 fn connection_closed_just_as_its_job_finished_is_not_reused() {
     let mut core = core(true);
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -2,7 +2,7 @@
 
 use super::pipeline::{Pipeline, Queued, ReadyRequest};
 use super::{CommandStep, FrontEffect, Protocol, RefusedId, RequestRegistry, ServiceState};
-use crate::client::{ClientId, ParsedRequest};
+use crate::client::ClientId;
 use crate::core::NewRequest;
 use crate::exchange::MemberRequest;
 use crate::pg;
@@ -154,16 +154,13 @@
 /// running since it sent the command.
 fn new_request(id: RequestId, now: Micros, ready: ReadyRequest) -> NewRequest<MemberRequest> {
     let ReadyRequest { read_at, request: parsed } = ready;
-    let ParsedRequest { required_position, commits_known_since, timeout, .. } = parsed;
     let request = Request {
         id,
         class: parsed.class,
+        statements: parsed.statements,
         group: parsed.group,
-        session: parsed.session,
         tenant: 0,
-        time_since_write: commits_known_since.map(|since| now.saturating_sub(since)),
-        min_position: required_position,
-        remaining: timeout.saturating_sub(now.saturating_sub(read_at)),
+        remaining: parsed.timeout.saturating_sub(now.saturating_sub(read_at)),
         is_retry: parsed.is_retry,
     };
     NewRequest { request, work: parsed.member_request.into() }
--- a/src/front/connection_manager/tests.rs
+++ b/src/front/connection_manager/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
-use crate::Request;
 use crate::client::{ParsedQuery, ParsedRequest, SimpleQuery};
 use crate::exchange::MemberRequest;
 use crate::front::platform::Platform;
+use crate::{ExecutedStatement, Request};
 
 const GROUP: u32 = 2;
 const CLIENT: ClientId = 16;
@@ -50,12 +50,11 @@
 fn command(id: u8, writes: bool, session: u64) -> ClientEvent<SimpleQuery> {
     let request = ParsedRequest {
         class: 0,
+        statements: vec![ExecutedStatement::new(0, session)],
         writes,
+        written_sessions: if writes { vec![session] } else { Vec::new() },
         group: GROUP,
-        session,
-        required_position: None,
         at_most_once: false,
-        commits_known_since: None,
         is_retry: false,
         external_id: vec![id],
         timeout: 1_000_000,
@@ -118,7 +117,7 @@
     let confirmed =
         FinalAnswer::Served(MemberResponse { bytes: vec![b'.'; 5000], position: Some(77), held: None });
     let effects = harness.manager.answer(&mut harness.registry, 1, CLIENT, write, confirmed);
-    assert_eq!(started(effects)[0].min_position, Some(77));
+    assert_eq!(started(effects)[0].statements[0].min_position, Some(77));
     let replies = harness.answer(2, first, 10);
     assert!(replies[1].windows(5).any(|code| code == b"08007"), "the reply to the write is an error");
 }
--- a/src/front/pipeline.rs
+++ b/src/front/pipeline.rs
@@ -7,23 +7,31 @@
 use crate::client::{ParsedRequest, Refusal};
 use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
-use crate::{Micros, RequestId};
-use std::collections::VecDeque;
+use crate::{ExecutedStatement, Micros, RequestId};
+use std::collections::{BTreeSet, VecDeque};
 
 /// The properties of a command that decide which other commands it may overlap.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Access {
     /// Whether the command changes data.
     writes: bool,
     /// The group that stores the data.
     group: u32,
-    /// The client's session, 0 if unknown.
-    session: u64,
+    /// The sessions whose data the command reads or writes; empty if one of them is unknown.
+    sessions: BTreeSet<u64>,
+    /// The sessions whose data the command changes; 0 stands for an unknown one.
+    written_sessions: BTreeSet<u64>,
 }
 
 impl Access {
     fn of(request: &ParsedRequest) -> Self {
-        Access { writes: request.writes, group: request.group, session: request.session }
+        let mut sessions: BTreeSet<u64> =
+            request.statements.iter().map(|statement| statement.session).collect();
+        if sessions.contains(&0) {
+            sessions.clear();
+        }
+        let written_sessions = request.written_sessions.iter().copied().collect();
+        Access { writes: request.writes, group: request.group, sessions, written_sessions }
     }
 
     /// Whether this command may start only after `earlier`, a command of the same connection, has finished.
@@ -31,7 +39,8 @@
     /// Within a group, a read must see earlier writes, writes must keep their order, and a read must not see
     /// a later write of its own session. An unknown session counts as equal to every other session.
     fn must_follow(&self, earlier: &Access) -> bool {
-        let same_session = self.session == earlier.session || self.session == 0 || earlier.session == 0;
+        let are_known = !self.sessions.is_empty() && !earlier.sessions.is_empty();
+        let same_session = !are_known || !self.sessions.is_disjoint(&earlier.sessions);
         self.group == earlier.group && (earlier.writes || (self.writes && same_session))
     }
 }
@@ -172,9 +181,8 @@
     pub fn next_ready_index(&self, from: usize, only_first: bool) -> Option<usize> {
         (from..self.entries.len()).find(|index| {
             let entry = &self.entries[*index];
-            let Some(access) = entry.access.filter(|_| matches!(entry.stage, Stage::Deferred(..))) else {
-                return false;
-            };
+            let is_deferred = matches!(entry.stage, Stage::Deferred(..));
+            let Some(access) = entry.access.as_ref().filter(|_| is_deferred) else { return false };
             let mut unfinished = self.entries.range(..*index).filter(|earlier| !earlier.is_finished());
             !unfinished.any(|earlier| {
                 only_first || earlier.access.as_ref().is_some_and(|earlier| access.must_follow(earlier))
@@ -182,16 +190,18 @@
         })
     }
 
-    /// Takes the request out of an entry and sets the position that a read must see. The entry keeps its
+    /// Takes the request out of an entry and sets the positions that its reads must see. The entry keeps its
     /// place; the caller must then call [`Pipeline::mark_running`] or [`Pipeline::reply`].
     pub fn take_ready(&mut self, index: usize) -> Option<ReadyRequest> {
-        let commit_position = self.required_commit_position(index);
+        let positions = self.required_commit_positions(index);
         let entry = &mut self.entries[index];
         match std::mem::replace(&mut entry.stage, Stage::Finished(Vec::new())) {
             Stage::Deferred(mut request, context) => {
                 let read_at = entry.read_at;
                 entry.stage = Stage::Running(0, context);
-                request.required_position = request.required_position.max(commit_position);
+                for (statement, position) in request.statements.iter_mut().zip(positions) {
+                    statement.min_position = statement.min_position.max(position);
+                }
                 Some(ReadyRequest { read_at, request: *request })
             }
             stage => {
@@ -201,25 +211,31 @@
         }
     }
 
-    /// The position that a read must see: the latest commit among earlier writes of this connection to the
-    /// read's group that belong to the read's session, or whose reply had not been written when the read
-    /// arrived. `None` for a write, and if there is no such commit.
+    /// The position that each statement of a deferred request must see: the latest commit among earlier writes
+    /// of this connection to the request's group that belong to the statement's session, or whose reply had
+    /// not been written when the request arrived. `None` if there is no such commit.
     ///
     /// A client that has received the reply to a write can name the commit's position in a read. For a write
     /// that was unanswered when the client sent the read, it cannot.
-    fn required_commit_position(&self, index: usize) -> Option<Micros> {
+    fn required_commit_positions(&self, index: usize) -> Vec<Option<Micros>> {
         let entry = &self.entries[index];
-        let read = entry.access.filter(|access| !access.writes)?;
-        let replied = self.replied_writes.iter().filter(|writes| {
-            let same_session = writes.access.session == read.session;
-            writes.access.group == read.group && (same_session || entry.read_at <= writes.replied_at)
-        });
+        let Stage::Deferred(request, _) = &entry.stage else { return Vec::new() };
+        let of_group = |access: &Access| access.group == request.group;
         let unreplied = self.entries.range(..index);
-        let unreplied =
-            unreplied.filter(|earlier| earlier.access.is_some_and(|access| access.group == read.group));
-        let replied_commits = replied.map(|writes| writes.commit_position);
-        let unreplied_commits = unreplied.filter_map(|earlier| earlier.commit_position);
-        replied_commits.chain(unreplied_commits).max()
+        let unreplied = unreplied.filter(|earlier| earlier.access.as_ref().is_some_and(of_group));
+        let replied = self.replied_writes.iter().filter(|writes| of_group(&writes.access));
+        let (known, unknown): (Vec<_>, Vec<_>) =
+            replied.partition(|writes| entry.read_at <= writes.replied_at);
+        let of_connection = known.into_iter().map(|writes| writes.commit_position);
+        let of_connection =
+            of_connection.chain(unreplied.filter_map(|earlier| earlier.commit_position)).max();
+        let position_of = |statement: &ExecutedStatement| {
+            let is_of_session =
+                |writes: &&&RepliedWrites| writes.access.written_sessions.contains(&statement.session);
+            let of_session = unknown.iter().filter(is_of_session).map(|writes| writes.commit_position);
+            of_session.max().max(of_connection)
+        };
+        request.statements.iter().map(position_of).collect()
     }
 
     /// Records the id under which a taken request is forwarded to the core.
@@ -237,7 +253,7 @@
     /// Records the commit that a member's response to a running request confirms.
     pub fn record_commit(&mut self, index: usize, protocol: &mut P, response: &MemberResponse) {
         let entry = &mut self.entries[index];
-        if entry.access.is_some_and(|access| access.writes) {
+        if entry.access.as_ref().is_some_and(|access| access.writes) {
             entry.commit_position = response.position;
         }
         if let Stage::Running(_, context) = &entry.stage {
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -2,13 +2,15 @@
 
 use super::config::{ExtendedListenerConfig, UnknownClassError};
 use super::error::BatchError;
+use super::execution::{Execution, Executions};
 use crate::client::ParsedRequest;
 use crate::clock::from_unix_ms;
 use crate::exchange::MemberRequest;
 use crate::extended::PreparedStatement;
 use crate::pg::statement::{self, StatementFields};
 use crate::state::SessionCommits;
-use crate::{Idempotency, Micros, Requirement, SessionInGroup, Settings};
+use crate::{ExecutedStatement, Idempotency, Micros, Requirement, SessionInGroup, Settings};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// The maximum timeout of a request. Without this limit, sums of times could overflow.
@@ -40,8 +42,8 @@
 pub struct BatchStatements<'a> {
     /// The statements that the batch prepares, binds or describes.
     pub statements: &'a [AnalyzedStatement],
-    /// The client's session, 0 if unknown.
-    pub session_key: u64,
+    /// What the batch executes.
+    pub executions: &'a Executions,
     /// The last commits of all sessions.
     pub commits: &'a SessionCommits,
     /// Since when commits are recorded, on the core's clock.
@@ -113,40 +115,34 @@
         self.settings.classes[class].requirement == Requirement::Write
     }
 
-    /// Whether requests of the class may be executed any number of times.
-    pub fn is_idempotent(&self, class: usize) -> bool {
-        self.settings.classes[class].idempotency == Idempotency::Idempotent
-    }
-
-    /// Combines the statements of a batch into one request, which gets the strictest class and the shortest
-    /// timeout among them, and must see the latest of their required positions and the session's last commit.
-    /// The statements must be for the same group.
+    /// Combines the statements of a batch into one request. What the batch executes decides what the request
+    /// needs; each execution keeps its own needs. The statements must be for the same group.
+    ///
+    /// The request is accounted under the strictest class, and has the shortest timeout. A batch that executes
+    /// nothing needs nothing of its member, and has these from the statements that it prepares or describes.
     pub fn combine(
         &self,
         batch: &BatchStatements<'_>,
         member_request: MemberRequest,
     ) -> Result<ParsedRequest, BatchError> {
-        let statements = batch.statements;
+        let BatchStatements { statements, executions, .. } = batch;
         let first = statements.first().ok_or(BatchError::MalformedMessage)?;
         if statements.iter().any(|statement| statement.group != first.group) {
             return Err(BatchError::SeveralGroups);
         }
-        let strictest = statements.iter().max_by_key(|statement| self.strictness(statement.class));
-        let required_position = statements.iter().filter_map(|statement| statement.required_position).max();
-        let timeout = statements.iter().map(|statement| statement.timeout).min();
-        let session = SessionInGroup { session: batch.session_key, group: first.group };
-        let commit = batch.commits.last(session);
-        let has_unknown_commits =
-            session.session != 0 && commit.is_none() && self.settings.endpoints_serve_stale();
+        let executed: Vec<_> = executions.iter().map(|one| (one.class, one.timeout)).collect();
+        let named = || statements.iter().map(|statement| (statement.class, statement.timeout)).collect();
+        let accounted = if executed.is_empty() { named() } else { executed };
+        let class = accounted.iter().map(|(class, _)| *class).max_by_key(|class| self.strictness(*class));
+        let timeout = accounted.iter().map(|(_, timeout)| *timeout).min();
         Ok(ParsedRequest {
-            class: strictest.unwrap_or(first).class,
-            writes: statements.iter().any(|statement| self.is_write_class(statement.class)),
+            class: class.unwrap_or(first.class),
+            statements: self.executed_statements(batch, first.group),
+            writes: executions.iter().any(|execution| self.is_write_class(execution.class)),
+            written_sessions: executions.sessions_of(|execution| self.is_write_class(execution.class)),
             group: first.group,
-            session: batch.session_key,
-            required_position: required_position.max(commit),
             at_most_once: false,
-            commits_known_since: has_unknown_commits.then_some(batch.commits_known_since),
-            is_retry: statements.iter().any(|statement| statement.is_retry),
+            is_retry: executions.iter().any(|execution| execution.is_retry),
             // The `id` in the comment of a prepared statement is the same for every execution, so it does not
             // identify a request.
             external_id: Vec::new(),
@@ -155,14 +151,53 @@
         })
     }
 
+    /// The executed statements, one for each class and session: a batch may execute thousands of portals.
+    fn executed_statements(&self, batch: &BatchStatements<'_>, group: u32) -> Vec<ExecutedStatement> {
+        let executions = batch.executions;
+        let classes: BTreeSet<usize> = executions.iter().map(|execution| execution.class).collect();
+        let mut executed = Vec::new();
+        for class in classes {
+            let of_class = |execution: &&Execution| execution.class == class;
+            let min_position =
+                executions.iter().filter(of_class).filter_map(|execution| execution.required_position).max();
+            // A client that names the last commit of its session knows of it, whatever this process knows.
+            let are_named = executions.iter().filter(of_class).all(|one| one.required_position.is_some());
+            for session in executions.sessions_of(|execution| execution.class == class) {
+                let mut statement =
+                    ExecutedStatement { min_position, ..ExecutedStatement::new(class, session) };
+                if !are_named {
+                    self.add_commits(&mut statement, batch, group);
+                }
+                executed.push(statement);
+            }
+        }
+        executed
+    }
+
+    /// Adds what the front knows of the commits of a statement's session. Where the router remembers commits,
+    /// it adds them itself.
+    fn add_commits(&self, statement: &mut ExecutedStatement, batch: &BatchStatements<'_>, group: u32) {
+        let session = SessionInGroup { session: statement.session, group };
+        if session.session == 0 || self.settings.remember_commits {
+            return;
+        }
+        let commit = batch.commits.last(session);
+        statement.min_position = statement.min_position.max(commit);
+        if commit.is_none() && self.settings.endpoints_serve_stale() {
+            statement.commits_known_since = Some(batch.commits_known_since);
+        }
+    }
+
+    /// Whether a batch must not be executed twice.
+    pub fn must_not_be_repeated(&self, request: &ParsedRequest) -> bool {
+        let is_idempotent =
+            |class: usize| self.settings.classes[class].idempotency == Idempotency::Idempotent;
+        !request.statements.iter().all(|statement| is_idempotent(statement.class))
+    }
+
     fn strictness(&self, class: usize) -> Strictness {
         let class = &self.settings.classes[class];
         Strictness {
-            idempotency: match class.idempotency {
-                Idempotency::Idempotent => 0,
-                Idempotency::Keyed { .. } => 1,
-                Idempotency::AtMostOnce => 2,
-            },
             requirement: match class.requirement {
                 Requirement::Any => 0,
                 Requirement::BoundedStaleness(_) => 1,
@@ -170,14 +205,19 @@
                 Requirement::Latest => 3,
                 Requirement::Write => 4,
             },
+            idempotency: match class.idempotency {
+                Idempotency::Idempotent => 0,
+                Idempotency::Keyed { .. } => 1,
+                Idempotency::AtMostOnce => 2,
+            },
         }
     }
 }
 
-/// The order of classes by strictness: first by how often a request may be executed, then by what it
-/// requires of a member. Greater values are stricter.
+/// The order of classes under which a batch is accounted, by what they require of a member, then by how often
+/// they may be executed. It decides the price and the priority of a batch, not what the batch needs.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Strictness {
-    idempotency: u8,
     requirement: u8,
+    idempotency: u8,
 }
--- /dev/null
+++ b/src/front/postgres/batch_needs_tests/play.rs
@@ -0,0 +1,654 @@
+//! One play: clients with batches, a front, a router, and members that fall behind, fail and change roles.
+
+use super::super::session_commits_tests::message;
+use super::model::{Executed, Member};
+use crate::client::{BatchEnd, ClientBatch, ClientEvent, ClientId};
+use crate::core::FinalAnswer;
+use crate::exchange::MemberResponse;
+use crate::front::postgres::{ExtendedListenerConfig, Postgres, PostgresLimits};
+use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
+use crate::memory_budget::MemoryBudget;
+use crate::pg::message_tags::{backend, frontend};
+use crate::random::RandomSource;
+use crate::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+const MS: Micros = 1000;
+const START: Micros = 1_000_000 * MS;
+const CLIENTS: u64 = 3;
+const SESSIONS: u64 = 4;
+const REPLICAS: usize = 3;
+const MAX_STATEMENTS: u64 = 5;
+/// Room for the commits of all sessions, or for fewer than there are sessions.
+const COMMIT_BYTES: [usize; 2] = [1 << 16, 200];
+const UNKNOWN_SESSION: &str = "?";
+/// The longest wait that the router may allow a read with a need of freshness for its connection to the primary.
+const PRIMARY_START_LIMIT: Micros = 100 * MS;
+
+/// A fault that is planted between the front and the router.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Plant {
+    Nothing,
+    /// The needs of one kind are dropped.
+    Drop(Need),
+    /// Of two bounds, the shorter is dropped.
+    DropShorterBound,
+}
+
+/// A kind of need.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Need {
+    Bound,
+    OwnWrites,
+    Present,
+    Executions,
+}
+
+/// A batch without a final answer.
+#[derive(Default)]
+struct Batch {
+    client: ClientId,
+    executed: Vec<Executed>,
+    /// The sessions that the batch writes for.
+    written: Vec<String>,
+    parsed: Vec<String>,
+    deadline: Micros,
+    attempts: u32,
+    first_run_at: Option<Micros>,
+}
+
+struct Attempt {
+    request: RequestId,
+    number: u32,
+    member: usize,
+    sent_at: Micros,
+    ends_at: Micros,
+    outcome: Outcome,
+}
+
+#[derive(Default)]
+struct Client {
+    is_busy: bool,
+    prepared: BTreeSet<String>,
+    /// The portals that were bound before a Flush.
+    flushed: Vec<Portal>,
+}
+
+struct Portal {
+    name: String,
+    class: usize,
+    /// The session that its parameter names; empty for none.
+    session: String,
+}
+
+pub struct Play {
+    plant: Plant,
+    now: Micros,
+    random: RandomSource,
+    settings: Settings,
+    /// No member fails or changes its role, so that every batch has to be served.
+    is_calm: bool,
+    keeps_few_commits: bool,
+    manager: ConnectionManager<Postgres>,
+    registry: RequestRegistry,
+    router: Router,
+    clients: BTreeMap<ClientId, Client>,
+    members: Vec<Member>,
+    lags: Vec<Micros>,
+    timers: BTreeMap<u32, Micros>,
+    probes: Vec<(Micros, usize)>,
+    attempts: Vec<Attempt>,
+    batches: BTreeMap<RequestId, Batch>,
+    /// The batch that a client has just sent.
+    sent: Option<Batch>,
+    commits: BTreeMap<String, Micros>,
+    pub served: usize,
+    pub violations: Vec<String>,
+}
+
+impl Play {
+    pub fn new(seed: u64, plant: Plant) -> Play {
+        let mut random = RandomSource::new(seed);
+        let settings = draw_settings(&mut random);
+        let few = random.below(3) == 0;
+        let config = ExtendedListenerConfig {
+            listen: ([127, 0, 0, 1], 0).into(),
+            read_class: "c0".to_string(),
+            write_class: "c0".to_string(),
+            group: 0,
+            wait_ms: 1000,
+            session_parameter: 1,
+            statements: 256,
+        };
+        let limits = PostgresLimits {
+            session_memory: MemoryBudget::new(1 << 20, 0, 1),
+            commit_bytes: COMMIT_BYTES[usize::from(few)],
+        };
+        let postgres = Postgres::new(config, Arc::new(settings.clone()), limits, START).unwrap();
+        let replica = || Member {
+            role: Role::Replica,
+            position: 0,
+            reported: 0,
+            passes_for_primary: false,
+            has_told_primary: false,
+        };
+        let mut members: Vec<_> = (0..=REPLICAS).map(|_| replica()).collect();
+        (members[0].role, members[0].passes_for_primary) = (Role::Primary, true);
+        let mut play = Play {
+            plant,
+            now: START,
+            router: Router::new(settings.clone(), seed, START),
+            is_calm: random.below(2) == 0,
+            keeps_few_commits: few,
+            manager: ConnectionManager::new(postgres, 1 << 20),
+            registry: RequestRegistry::default(),
+            clients: (1..=CLIENTS).map(|id| (id, Client::default())).collect(),
+            lags: (0..=REPLICAS).map(|_| 5 * MS + random.below(3000) * MS).collect(),
+            members,
+            random,
+            settings,
+            timers: BTreeMap::new(),
+            probes: Vec::new(),
+            attempts: Vec::new(),
+            batches: BTreeMap::new(),
+            sent: None,
+            commits: BTreeMap::new(),
+            served: 0,
+            violations: Vec::new(),
+        };
+        play.begin();
+        play
+    }
+
+    fn begin(&mut self) {
+        let endpoint = |index: usize| EndpointEntry {
+            endpoint: endpoint_id(index),
+            group: 0,
+            zone: 0,
+            state: EndpointState::Ready,
+            primary_hint: false,
+            started_at: 0,
+        };
+        let endpoints = (0..=REPLICAS).map(endpoint).collect();
+        self.notify(Event::EndpointUpdate { complete: true, endpoints });
+        self.apply_log();
+        (0..=REPLICAS).for_each(|member| self.report(member));
+        (1..=CLIENTS).for_each(|client| {
+            let connected = ClientEvent::Connected { secret: 1 };
+            self.manager.handle_event(&mut self.registry, START, client, connected);
+        });
+    }
+
+    pub fn step(&mut self) {
+        self.now += 1 + self.random.below(20 * MS);
+        self.apply_log();
+        self.change_members();
+        let due = |at: &Micros| *at <= self.now;
+        let timers: Vec<_> = self.timers.iter().filter(|(_, at)| due(at)).map(|(token, _)| *token).collect();
+        for token in timers {
+            self.timers.remove(&token);
+            self.notify(Event::TimerFired(token));
+        }
+        while let Some(index) = self.probes.iter().position(|(at, _)| *at <= self.now) {
+            let (_, member) = self.probes.swap_remove(index);
+            self.report(member);
+        }
+        while let Some(index) = self.attempts.iter().position(|attempt| attempt.ends_at <= self.now) {
+            let attempt = self.attempts.swap_remove(index);
+            self.end_attempt(attempt);
+        }
+        let client = 1 + self.random.below(CLIENTS);
+        if !self.clients[&client].is_busy {
+            self.send_batch(client);
+        }
+    }
+
+    /// Replicas apply the log up to their lag; positions never decrease.
+    fn apply_log(&mut self) {
+        for (member, lag) in self.members.iter_mut().zip(&self.lags) {
+            let lag = if member.role == Role::Primary { 0 } else { *lag };
+            member.position = member.position.max(self.now - lag);
+        }
+    }
+
+    fn change_members(&mut self) {
+        let member = self.random.below(self.members.len() as u64) as usize;
+        match self.random.below(40) {
+            0 | 1 => self.lags[member] = 5 * MS + self.random.below(5000) * MS,
+            2 => self.lags.fill(5 * MS),
+            3 if !self.is_calm && self.random.below(4) == 0 => {
+                let now = self.now;
+                self.members.iter_mut().for_each(|member| member.role = Role::Replica);
+                let primary = &mut self.members[member];
+                (primary.role, primary.position, primary.passes_for_primary) = (Role::Primary, now, true);
+            }
+            _ => {}
+        }
+    }
+
+    /// A member answers a probe.
+    fn report(&mut self, index: usize) {
+        let report = self.told(index);
+        let report = LoadReport { role: report.role, position: report.position };
+        self.notify(Event::ProbeEnded { endpoint: endpoint_id(index), answered: true, report });
+    }
+
+    /// What a member reports, of which the router knows from now on.
+    fn told(&mut self, index: usize) -> ResponseMetadata {
+        let member = &mut self.members[index];
+        member.reported = member.position;
+        let is_primary = member.role == Role::Primary;
+        let metadata = ResponseMetadata { role: Some(member.role), position: Some(member.position) };
+        if is_primary {
+            self.members.iter_mut().for_each(|member| {
+                (member.passes_for_primary, member.has_told_primary) = (false, false);
+            });
+        }
+        let member = &mut self.members[index];
+        (member.passes_for_primary, member.has_told_primary) = (is_primary, is_primary);
+        metadata
+    }
+
+    fn notify(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.router.handle(self.now, event, &mut actions);
+            actions.into_iter().for_each(|action| events.extend(self.perform(action)));
+        }
+    }
+
+    fn perform(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Send { request, endpoint, timeout, start_within } => {
+                let member = endpoint.0 as usize - 1;
+                self.judge_send(request, member, start_within);
+                self.start_attempt(request, member, timeout);
+            }
+            Action::Reject { request, .. } => self.refuse(request, true),
+            Action::Fail { request, .. } => self.refuse(request, false),
+            Action::Probe(endpoint) => {
+                let at = self.now + self.random.below(30 * MS);
+                self.probes.push((at, endpoint.0 as usize - 1));
+            }
+            Action::SetTimer { token, after } => drop(self.timers.insert(token, self.now + after)),
+            Action::Cancel { request, attempt } => {
+                let is_it = |other: &Attempt| other.request == request && other.number == attempt;
+                let index = self.attempts.iter().position(is_it)?;
+                let cancelled = self.attempts.swap_remove(index);
+                return Some(ended(&cancelled, Outcome::Cancelled, ResponseMetadata::default(), self.now));
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn start_attempt(&mut self, request: RequestId, member: usize, timeout: Micros) {
+        use Outcome::{ConnectFailed, LocalError, NeverSent, Ok, RejectedByMember, Reset, TimedOut};
+        let Some(batch) = self.batches.get_mut(&request) else { return };
+        let number = batch.attempts;
+        batch.attempts += 1;
+        let faults = [ConnectFailed, LocalError, NeverSent, RejectedByMember, Reset, TimedOut];
+        let fails = !self.is_calm && self.random.below(4) == 0;
+        let outcome = if fails { faults[self.random.below(6) as usize] } else { Ok };
+        let takes = if self.is_calm { 2 * MS } else { self.random.below(40 * MS) };
+        let takes = if outcome == TimedOut { timeout } else { takes.min(timeout) };
+        let (sent_at, ends_at) = (self.now, self.now + takes);
+        self.attempts.push(Attempt { request, number, member, sent_at, ends_at, outcome });
+    }
+
+    fn violation(&mut self, request: RequestId, text: &str) {
+        let now = self.now - START;
+        self.violations.push(format!("at {now}: request {request}: {text}"));
+    }
+
+    fn judge_send(&mut self, request: RequestId, member: usize, start_within: Micros) {
+        let Some(batch) = self.batches.get(&request) else {
+            return self.violation(request, "sent after its answer");
+        };
+        let (now, to) = (self.now, &self.members[member]);
+        let executed = &batch.executed;
+        let writes = executed.iter().any(|executed| executed.class.requirement == Requirement::Write);
+        let is_search = writes && !to.passes_for_primary;
+        let starts_by = now.saturating_add(start_within.min(batch.deadline.saturating_sub(now)));
+        let is_excluded = |executed: &Executed| !executed.may_be_answered_by(to, starts_by, &self.settings);
+        let needs_freshness = |executed: &Executed| {
+            !matches!(executed.class.requirement, Requirement::Any | Requirement::Write)
+        };
+        let is_late_start = self.settings.endpoints_serve_stale()
+            && to.has_told_primary
+            && !writes
+            && start_within > PRIMARY_START_LIMIT
+            && executed.iter().any(|executed| {
+                needs_freshness(executed) && executed.class.requirement != Requirement::ReadYourWrites
+            });
+        let first_run = batch.first_run_at;
+        let is_repeat = first_run
+            .is_some_and(|first| executed.iter().any(|executed| !executed.may_run_again(first, now)));
+        let is_first = batch.attempts == 0;
+        let is_needless =
+            self.is_calm && is_first && to.passes_for_primary && self.has_qualified_replica(batch);
+        // Members reject writes that they can't take, and with the write all that came with it.
+        if !is_search && executed.iter().any(is_excluded) {
+            let text = format!("sent to member {member}, which may lack what a statement must see");
+            self.violation(request, &text);
+        } else if now >= self.batches[&request].deadline {
+            self.violation(request, "sent after the deadline of a statement");
+        } else if is_repeat {
+            self.violation(request, "a statement is executed again that must not be");
+        } else if is_late_start {
+            self.violation(request, "may start at the primary when that may have stepped down");
+        } else if is_needless {
+            self.violation(request, "sent to the primary though a replica is known to be fresh enough");
+        } else if self.is_calm && is_search {
+            self.violation(request, "sent to a replica though a statement needs the primary, which is known");
+        }
+    }
+
+    fn has_qualified_replica(&self, batch: &Batch) -> bool {
+        let qualifies = |member: &&Member| {
+            member.role == Role::Replica
+                && batch.executed.iter().all(|executed| executed.can_be_answered_by(member, self.now))
+        };
+        self.members.iter().any(|member| qualifies(&member))
+    }
+
+    fn refuse(&mut self, request: RequestId, as_rejected: bool) {
+        let Some(batch) = self.batches.get(&request) else { return };
+        let is_repeatable = |executed: &Executed| executed.class.idempotency.is_repeatable_anywhere();
+        if as_rejected && batch.first_run_at.is_some() && !batch.executed.iter().all(is_repeatable) {
+            self.violation(request, "rejected though a statement may have run that must not run again");
+        }
+        if self.is_calm {
+            self.violation(request, "refused though all members are up");
+        }
+        let answer = match as_rejected {
+            true => FinalAnswer::Rejected { retry_after: 0 },
+            false => FinalAnswer::Failed { maybe_executed: true },
+        };
+        self.answer(request, answer);
+    }
+
+    fn end_attempt(&mut self, attempt: Attempt) {
+        let Attempt { request, member, sent_at, mut outcome, .. } = attempt;
+        let Some(batch) = self.batches.get(&request) else {
+            let event = ended(&attempt, outcome, ResponseMetadata::default(), self.now);
+            return self.notify(event);
+        };
+        let (writes, is_primary) = (!batch.written.is_empty(), self.members[member].role == Role::Primary);
+        let lacks = |executed: &Executed| {
+            let checks = !self.settings.endpoints_serve_stale();
+            checks && !is_primary && !executed.holds_at(self.members[member].position, sent_at)
+        };
+        let writes = writes || batch.executed.iter().any(|one| one.class.requirement == Requirement::Write);
+        if outcome == Outcome::Ok && ((writes && !is_primary) || batch.executed.iter().any(lacks)) {
+            outcome = Outcome::NotServable;
+        }
+        if outcome.may_have_run() {
+            let batch = self.batches.get_mut(&request).unwrap();
+            batch.first_run_at = Some(batch.first_run_at.map_or(sent_at, |first| first.min(sent_at)));
+        }
+        let answers = matches!(outcome, Outcome::Ok | Outcome::NotServable);
+        let metadata = if answers { self.told(member) } else { ResponseMetadata::default() };
+        self.notify(ended(&attempt, outcome, metadata, self.now));
+        if outcome == Outcome::Ok {
+            self.serve(request, metadata.position);
+        }
+    }
+
+    fn serve(&mut self, request: RequestId, position: Option<Micros>) {
+        let Some(batch) = self.batches.get(&request) else { return };
+        for session in &batch.written {
+            let commit = self.commits.entry(session.clone()).or_default();
+            *commit = (*commit).max(position.unwrap_or(0));
+        }
+        self.served += 1;
+        let bytes = message(backend::DATA_ROW, b"");
+        self.answer(request, FinalAnswer::Served(MemberResponse { bytes, position, held: None }));
+    }
+
+    fn answer(&mut self, request: RequestId, answer: FinalAnswer<MemberResponse>) {
+        let Some(batch) = self.batches.remove(&request) else { return };
+        let client = self.clients.get_mut(&batch.client).unwrap();
+        client.is_busy = false;
+        if !matches!(answer, FinalAnswer::Served(_)) {
+            client.prepared.retain(|name| !batch.parsed.contains(name));
+            client.flushed.clear();
+        }
+        assert_eq!(self.registry.close(request), Some(batch.client));
+        self.now += 1;
+        let effects = self.manager.answer(&mut self.registry, self.now, batch.client, request, answer);
+        self.start(effects);
+    }
+
+    /// Passes the request that the front has made of a batch to the router.
+    fn start(&mut self, effects: Vec<FrontEffect>) {
+        for effect in effects {
+            if let FrontEffect::StartRequest(started) = effect {
+                let mut request = started.request;
+                self.plant_fault(&mut request);
+                let batch = self.sent.take().expect("one request for each batch");
+                let id = request.id;
+                let is_served_by_replica = self.has_qualified_replica(&batch);
+                self.batches.insert(id, batch);
+                self.notify(Event::Request(request));
+                let waits = self.batches.get(&id).is_some_and(|batch| batch.attempts == 0);
+                if self.is_calm && waits && is_served_by_replica {
+                    self.violation(id, "waits though a replica is known to be fresh enough");
+                }
+            }
+        }
+    }
+
+    /// Drops the statements whose needs the planted fault loses.
+    fn plant_fault(&self, request: &mut Request) {
+        let classes = &self.settings.classes;
+        let bound_of = |statement: &ExecutedStatement| match classes[statement.class].requirement {
+            Requirement::BoundedStaleness(bound) => Some(bound),
+            _ => None,
+        };
+        let statements = &mut request.statements;
+        match self.plant {
+            Plant::Nothing => {}
+            Plant::Drop(need) => statements.retain(|statement| {
+                let Class { requirement, idempotency, .. } = classes[statement.class];
+                !match need {
+                    Need::Bound => bound_of(statement).is_some(),
+                    Need::OwnWrites => requirement == Requirement::ReadYourWrites,
+                    Need::Present => requirement == Requirement::Latest,
+                    Need::Executions => idempotency != Idempotency::Idempotent,
+                }
+            }),
+            Plant::DropShorterBound => {
+                let longest = statements.iter().filter_map(bound_of).max();
+                statements.retain(|statement| bound_of(statement).is_none_or(|bound| Some(bound) == longest));
+            }
+        }
+    }
+
+    fn send_batch(&mut self, id: ClientId) {
+        // The replies to earlier batches have been written before.
+        self.now += 1;
+        let mut batch = Batch { client: id, deadline: Micros::MAX, ..Batch::default() };
+        let mut messages = Vec::new();
+        let mut portals = std::mem::take(&mut self.clients.get_mut(&id).unwrap().flushed);
+        if portals.is_empty() {
+            portals = self.bind_portals(&mut batch, &mut messages);
+        }
+        let is_cut = !messages.is_empty() && self.random.below(4) == 0;
+        if is_cut {
+            self.clients.get_mut(&id).unwrap().flushed = portals;
+        } else {
+            portals.retain(|_| self.random.below(6) > 0);
+            self.execute_portals(portals, &mut batch, &mut messages);
+        }
+        if messages.is_empty() {
+            return;
+        }
+        self.sent = Some(batch);
+        self.clients.get_mut(&id).unwrap().is_busy = true;
+        let end = if is_cut { BatchEnd::Flush } else { BatchEnd::Sync };
+        let command = ClientBatch { received_at: self.now, messages, end, refusal: None };
+        let event = ClientEvent::Command(command);
+        let effects = self.manager.handle_event(&mut self.registry, self.now, id, event);
+        self.start(effects);
+        // A batch that the front has answered by itself.
+        if self.sent.take().is_some() {
+            self.clients.get_mut(&id).unwrap().is_busy = false;
+        }
+    }
+
+    /// Prepares and binds statements of drawn classes, some of which are then not executed.
+    fn bind_portals(&mut self, batch: &mut Batch, messages: &mut Vec<Vec<u8>>) -> Vec<Portal> {
+        let session = match self.random.below(SESSIONS + 1) {
+            0 => String::new(),
+            session => session.to_string(),
+        };
+        let mut portals = Vec::new();
+        for number in 0..1 + self.random.below(MAX_STATEMENTS) {
+            let class = self.random.below(self.settings.classes.len() as u64) as usize;
+            let session = session.clone();
+            let statement = format!("c{class}");
+            if self.clients.get_mut(&batch.client).unwrap().prepared.insert(statement.clone()) {
+                messages.push(self.parse(class));
+                batch.parsed.push(statement);
+            }
+            if self.random.below(8) > 0 {
+                let portal = Portal { name: format!("p{number}"), class, session };
+                messages.push(bind(&portal));
+                portals.push(portal);
+            }
+        }
+        portals
+    }
+
+    fn execute_portals(&self, portals: Vec<Portal>, batch: &mut Batch, messages: &mut Vec<Vec<u8>>) {
+        // A statement without a session may be on behalf of each session of its batch.
+        let mut sessions: BTreeSet<_> = portals.iter().map(|portal| portal.session.clone()).collect();
+        sessions.retain(|session| !session.is_empty());
+        if sessions.is_empty() {
+            sessions.insert(unknown_session(batch.client));
+        }
+        for Portal { name, class, session } in portals {
+            messages.push(message(frontend::EXECUTE, format!("{name}\0\0\0\0\0").as_bytes()));
+            batch.deadline = batch.deadline.min(self.now + timeout_ms(class) * MS);
+            let sessions = if session.is_empty() { sessions.clone() } else { BTreeSet::from([session]) };
+            batch.executed.extend(sessions.iter().map(|session| self.executed(class, session)));
+            if self.settings.classes[class].requirement == Requirement::Write {
+                batch.written.extend(sessions);
+            }
+        }
+    }
+
+    fn executed(&self, class: usize, session: &str) -> Executed {
+        let serves_stale = self.settings.endpoints_serve_stale();
+        // A session may have committed through an earlier process.
+        let is_known = !session.starts_with(UNKNOWN_SESSION);
+        let earlier = if serves_stale && is_known { START } else { 0 };
+        let commit = self.commits.get(session).copied();
+        let any_commit = self.commits.values().copied().max().filter(|_| self.keeps_few_commits && is_known);
+        let position = commit.unwrap_or(earlier);
+        let highest_position = position.max(any_commit.unwrap_or(0));
+        let position = if is_known { position } else { 0 };
+        let class = self.settings.classes[class].clone();
+        let reads_own = class.requirement == Requirement::ReadYourWrites;
+        Executed { class, position, highest_position: if reads_own { highest_position } else { 0 } }
+    }
+
+    fn parse(&self, class: usize) -> Vec<u8> {
+        let (name, timeout) = (format!("c{class}"), timeout_ms(class));
+        let verb = match self.settings.classes[class].requirement {
+            Requirement::Write => "insert into t values ($1)",
+            _ => "select 1 from t where ref = $1",
+        };
+        message(frontend::PARSE, format!("{name}\0{verb} /* c={name},d={timeout} */\0\0\0").as_bytes())
+    }
+}
+
+fn bind(portal: &Portal) -> Vec<u8> {
+    let Portal { name, class, session } = portal;
+    let values = match session.as_str() {
+        "" => vec![0, 0],
+        _ => [&[0, 1][..], &(session.len() as u32).to_be_bytes(), session.as_bytes()].concat(),
+    };
+    let names = format!("{name}\0c{class}\0\0\0");
+    message(frontend::BIND, &[names.as_bytes(), &values, &[0, 0]].concat())
+}
+
+/// The name of the sessions of a client's statements that identify none. A later statement without a session on the
+/// same connection may be on behalf of the same one.
+fn unknown_session(client: ClientId) -> String {
+    format!("{UNKNOWN_SESSION}{client}")
+}
+
+fn timeout_ms(class: usize) -> u64 {
+    400 + 150 * class as u64
+}
+
+fn endpoint_id(index: usize) -> EndpointId {
+    EndpointId(index as u64 + 1)
+}
+
+fn ended(attempt: &Attempt, outcome: Outcome, metadata: ResponseMetadata, now: Micros) -> Event {
+    Event::AttemptEnded(AttemptResult {
+        request: attempt.request,
+        attempt: attempt.number,
+        endpoint: endpoint_id(attempt.member),
+        outcome,
+        elapsed: now - attempt.sent_at,
+        metadata,
+        finished: outcome == Outcome::Ok,
+        report: LoadReport::default(),
+    })
+}
+
+/// The classes of the deployments, or drawn ones.
+fn draw_classes(random: &mut RandomSource) -> Vec<(Requirement, Idempotency)> {
+    use Idempotency::{AtMostOnce, Idempotent, Keyed};
+    use Requirement::{Any, BoundedStaleness, Latest, ReadYourWrites, Write};
+    let keyed = |window, across_groups| Keyed { window, across_groups };
+    let safe = |requirement| (requirement, Idempotent);
+    match random.below(6) {
+        0 => [ReadYourWrites, Any, Latest].map(safe).into_iter().chain([(Write, AtMostOnce)]).collect(),
+        1 => {
+            let reads = [BoundedStaleness(800 * MS), ReadYourWrites, Any].map(safe);
+            reads.into_iter().chain([(Write, AtMostOnce)]).collect()
+        }
+        2 => {
+            let reads = [BoundedStaleness(300 * MS), ReadYourWrites, Any, Latest].map(safe);
+            reads.into_iter().chain([(Write, keyed(2000 * MS, true))]).collect()
+        }
+        _ => {
+            let mut draw = || {
+                let bound = BoundedStaleness(random.below(4000) * MS);
+                let requirements = [Write, Latest, ReadYourWrites, bound, bound, Any];
+                let key = keyed(100 * MS + random.below(1500) * MS, random.below(2) == 0);
+                let idempotency = [Idempotent, Idempotent, key, AtMostOnce][random.below(4) as usize];
+                (requirements[random.below(6) as usize], idempotency)
+            };
+            (0..6).map(|_| draw()).collect()
+        }
+    }
+}
+
+fn draw_settings(random: &mut RandomSource) -> Settings {
+    let classes = draw_classes(random);
+    let class_names = (0..classes.len()).map(|class| format!("c{class}")).collect();
+    let mut class = |(requirement, idempotency)| Class {
+        requirement,
+        idempotency,
+        latency_objective: 400 * MS + random.below(400) * MS,
+        deadline: 2000 * MS,
+        priority_weight: 1.0 + random.below(5) as f64,
+        late_value: random.below(2) as f64 / 2.0,
+    };
+    let classes = classes.into_iter().map(&mut class).collect();
+    let behavior = match random.below(4) {
+        0 => StaleReadBehavior::Reject,
+        1 => StaleReadBehavior::WaitThenReject(50 * MS),
+        _ => StaleReadBehavior::Serve,
+    };
+    let remember_commits = random.below(3) == 0;
+    Settings { classes, class_names, stale_read_behavior: behavior, remember_commits, ..Settings::default() }
+}
--- a/src/front/postgres/batch_planner.rs
+++ b/src/front/postgres/batch_planner.rs
@@ -3,6 +3,7 @@
 use super::analysis::{AnalyzedStatement, StatementAnalyzer};
 use super::bind::parse_parameters;
 use super::error::BatchError;
+use super::execution::{Execution, Executions};
 use super::session::{ParsedStatement, Portal, Session};
 use super::statement_recorder::StatementRecorder;
 use crate::extended::ExtendedMessage;
@@ -28,21 +29,8 @@
     pub statements: Vec<AnalyzedStatement>,
     /// The statements that the batch prepares.
     pub parsed: Vec<ParsedStatement>,
-    /// The session of the first bound portal that has one, 0 if none has.
-    pub session_key: u64,
-}
-
-impl BatchPlan {
-    /// Whether the batch executes a portal.
-    pub fn executes(&self) -> bool {
-        self.messages.iter().any(|message| matches!(message, ExtendedMessage::Execute { .. }))
-    }
-
-    fn set_session_key_if_unset(&mut self, session_key: u64) {
-        if self.session_key == 0 {
-            self.session_key = session_key;
-        }
-    }
+    /// What the messages execute.
+    pub executions: Executions,
 }
 
 /// Builds the [`BatchPlan`] of a batch, message by message.
@@ -108,7 +96,6 @@
         let statement = self.statement(name)?;
         let session_key =
             self.session_parameter(&parameters).map_or(statement.session_key, statement::session_id);
-        self.plan.set_session_key_if_unset(session_key);
         let arguments: Arc<[u8]> = arguments.into();
         let bound = Portal {
             statement: statement.clone(),
@@ -138,7 +125,8 @@
         if row_limit.len() != ROW_LIMIT_BYTES {
             return Err(BatchError::MalformedMessage);
         }
-        self.ensure_bound(portal)?;
+        let execution = self.ensure_bound(portal)?;
+        self.plan.executions.push(execution);
         let (portal, row_limit) = (portal.to_vec(), row_limit.to_vec());
         self.plan.messages.push(ExtendedMessage::Execute { portal, row_limit });
         Ok(())
@@ -183,12 +171,11 @@
     }
 
     /// Ensures that the portal exists at the member when a later message uses it: a portal that was bound
-    /// before a Flush is bound again.
-    fn ensure_bound(&mut self, name: &[u8]) -> Result<(), BatchError> {
+    /// before a Flush is bound again. Returns what an Execute of the portal executes.
+    fn ensure_bound(&mut self, name: &[u8]) -> Result<Execution, BatchError> {
         let portal = self.session.portal_mut(name).ok_or_else(|| BatchError::unknown_portal(name))?;
         if portal.flushed {
             portal.flushed = false;
-            self.plan.set_session_key_if_unset(portal.session_key);
             self.plan.messages.push(ExtendedMessage::Bind {
                 portal: name.to_vec(),
                 statement: portal.statement.prepared.clone(),
@@ -197,7 +184,7 @@
             });
             self.plan.statements.push(portal.statement.clone());
         }
-        Ok(())
+        Ok(Execution::new(&portal.statement, portal.session_key))
     }
 }
 
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -1,6 +1,6 @@
 //! The extended front: prepared statements, portals and pipelines. The messages up to a Sync are one implicit
-//! transaction. They are forwarded as one request, which has the strictest class among their statements and
-//! gets one final answer.
+//! transaction. They are forwarded as one request, which needs of its member what each of the executed
+//! statements needs, and gets one final answer.
 //!
 //! A Flush before the Sync makes a request of the messages up to it, and the implicit transaction ends at the
 //! member with that request. Later messages before the Sync may still use a portal that was bound before the
@@ -13,6 +13,7 @@
 mod config;
 mod dependencies;
 mod error;
+mod execution;
 mod reply_summary;
 mod session;
 mod statement_recorder;
@@ -31,11 +32,12 @@
 use crate::pg::{self, statement};
 use crate::state::SessionCommits;
 use crate::store::Change;
-use crate::{Micros, SessionInGroup, Settings};
+use crate::{GroupId, Micros, SessionInGroup, Settings};
 use analysis::{BatchStatements, StatementAnalyzer};
 use batch_planner::{BatchPlan, BatchPlanner};
 use dependencies::statement_names;
 use error::BatchError;
+use execution::{Execution, Executions};
 use reply_summary::ReplySummary;
 use session::ParsedStatement;
 use statement_recorder::StatementRecorder;
@@ -48,10 +50,10 @@
 pub struct BatchContext {
     /// The statements that the batch prepares.
     parsed: Vec<ParsedStatement>,
-    /// The client's session and the group of the batch.
-    session: SessionInGroup,
-    /// Whether the batch may have written if it was served.
-    may_write: bool,
+    /// The group of the batch.
+    group: GroupId,
+    /// The sessions that the batch may have written for if it was served.
+    written_sessions: Vec<u64>,
     /// The type of the message that ended the batch.
     end: BatchEnd,
     /// Whether a member may have executed an earlier part of the client's implicit transaction, up to a
@@ -131,10 +133,10 @@
             return Ok(CommandStep::Reply(reply));
         }
         let statement = self.analyzer.analyze(text, &[])?;
-        let (session_key, may_write) = (statement.session_key, statement.may_write);
+        let executions = Executions::from_iter([Execution::new(&statement, statement.session_key)]);
         let statements = BatchStatements {
             statements: &[statement],
-            session_key,
+            executions: &executions,
             commits: &self.commits,
             commits_known_since: self.started_at,
         };
@@ -145,11 +147,10 @@
         let request = self.analyzer.combine(&statements, member_request)?;
         let follows_execution = session.executed_before_flush;
         session.end_transaction();
-        let session_in_group = SessionInGroup { session: session_key, group: request.group };
         let context = BatchContext {
             parsed: Vec::new(),
-            session: session_in_group,
-            may_write,
+            group: request.group,
+            written_sessions: executions.sessions_of(|execution| execution.may_write),
             end: BatchEnd::Query,
             follows_execution,
         };
@@ -169,7 +170,7 @@
             session.end_batch(batch.end, &mut reply);
             return Ok(CommandStep::Reply(reply));
         }
-        let executes = plan.executes();
+        let executes = !plan.executions.is_empty();
         if let Err(error) = check_flush(session, batch.end, executes) {
             session.undo_parses(plan.parsed, 0);
             return Err(error);
@@ -178,7 +179,7 @@
         session.executed_before_flush |= executes;
         let statements = BatchStatements {
             statements: &plan.statements,
-            session_key: plan.session_key,
+            executions: &plan.executions,
             commits: &self.commits,
             commits_known_since: self.started_at,
         };
@@ -191,16 +192,17 @@
                 return Err(error);
             }
         };
+        let must_not_be_repeated = self.analyzer.must_not_be_repeated(&request);
         if let MemberRequest::Extended(extended) = &mut request.member_request {
-            extended.confirm_before_execute = !self.analyzer.is_idempotent(request.class);
+            extended.confirm_before_execute = must_not_be_repeated;
         }
         if batch.end != BatchEnd::Flush {
             session.end_transaction();
         }
         let context = BatchContext {
             parsed: plan.parsed,
-            session: SessionInGroup { session: plan.session_key, group: request.group },
-            may_write: executes && plan.statements.iter().any(|statement| statement.may_write),
+            group: request.group,
+            written_sessions: plan.executions.sessions_of(|execution| execution.may_write),
             end: batch.end,
             follows_execution,
         };
@@ -291,13 +293,13 @@
 
     /// A batch with an error has been rolled back. The position of a read is not that of a commit.
     fn record_commit(&mut self, context: &BatchContext, response: &MemberResponse) {
-        let is_known = context.session.session != 0;
-        if is_known
-            && context.may_write
-            && let Some(position) = response.position
-            && !ReplySummary::of(&response.bytes).has_error
-        {
-            self.commits.record(context.session, position);
+        let Some(position) = response.position else { return };
+        if context.written_sessions.is_empty() || ReplySummary::of(&response.bytes).has_error {
+            return;
+        }
+        let group = context.group;
+        for &session in context.written_sessions.iter().filter(|session| **session != 0) {
+            self.commits.record(SessionInGroup { session, group }, position);
         }
     }
 
@@ -330,6 +332,8 @@
     }
 }
 
+#[cfg(test)]
+mod batch_needs_tests;
 #[cfg(test)]
 mod session_commits_tests;
 #[cfg(test)]
--- a/src/front/postgres/session_commits_tests.rs
+++ b/src/front/postgres/session_commits_tests.rs
@@ -86,9 +86,9 @@
                     if request.class == class_index(OWN) {
                         self.own_reads += 1;
                         let confirmed = self.confirmed_before[&request.remaining];
-                        assert!(request.min_position >= confirmed, "{request:?}, {confirmed:?}");
+                        assert!(min_position(&request) >= confirmed, "{request:?}, {confirmed:?}");
                     }
-                    assert!(request.min_position.unwrap_or(0) < FIRST_POSITION_OF_READS, "{request:?}");
+                    assert!(min_position(&request).unwrap_or(0) < FIRST_POSITION_OF_READS, "{request:?}");
                     let client = self.registry.client_of(request.id).unwrap();
                     self.running.insert(request.id, Running { client, request });
                 }
@@ -143,7 +143,7 @@
             false => message(backend::DATA_ROW, &vec![0; self.below(3000) as usize]),
         };
         if writes && !fails {
-            let last = self.confirmed.entry((request.session, request.group)).or_default();
+            let last = self.confirmed.entry((request.statements[0].session, request.group)).or_default();
             *last = position.max(*last);
         }
         assert_eq!(self.registry.close(id), Some(client));
@@ -175,7 +175,7 @@
     }
 }
 
-fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+pub(super) fn message(tag: u8, body: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::new();
     put_message(&mut bytes, tag, &[body]);
     bytes
@@ -193,6 +193,11 @@
     }
 }
 
+/// The position that the only statement of a request must see.
+fn min_position(request: &Request) -> Option<Micros> {
+    request.statements[0].min_position
+}
+
 fn class_index(name: &str) -> usize {
     settings().class(name.as_bytes()).unwrap()
 }
@@ -224,7 +229,7 @@
     commit_of(&mut harness, 1, MANY_SESSIONS);
     (0..MANY_SESSIONS).for_each(|other| commit_of(&mut harness, 100_000 + other, MANY_SESSIONS + 1 + other));
     harness.send_for(2, 1, 0, OWN);
-    let read = harness.running.values().next().map(|running| running.request.min_position);
+    let read = harness.running.values().next().map(|running| min_position(&running.request));
     assert!(read >= Some(Some(MANY_SESSIONS)), "{read:?}");
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,8 +38,7 @@
 //!
 //! // A write goes to the member that the hint names, and its response shows that it is the primary.
 //! let request = |id, class| Request {
-//!     id, class, group: 1, session: 9, tenant: 0,
-//!     time_since_write: None, min_position: None, remaining: 800_000, is_retry: false,
+//!     id, group: 1, remaining: 800_000, ..Request::executing(ExecutedStatement::new(class, 9))
 //! };
 //! actions.clear();
 //! router.handle(5_000, Event::Request(request(1, 1)), &mut actions);
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -19,7 +19,9 @@
 pub(crate) use needs::Needs;
 pub use needs::{PerNeed, RoutingCounts};
 pub use process_pause::process_pause_margin;
-pub use request::{AttemptResult, Class, Idempotency, Outcome, Request, RequestId, Requirement};
+pub use request::{
+    AttemptResult, Class, ExecutedStatement, Idempotency, Outcome, Request, RequestId, Requirement,
+};
 pub use session::SessionInGroup;
 pub use settings::{Settings, StaleReadBehavior};
 pub use settings_document::SettingsError;
--- a/src/model/needs.rs
+++ b/src/model/needs.rs
@@ -15,6 +15,9 @@
     pub(crate) staleness_bound: Option<Micros>,
     /// How often the request may be executed.
     pub(crate) idempotency: Idempotency,
+    /// Whether a statement has an idempotency key. The answer to a repeat may hold the position of the first
+    /// execution.
+    pub(crate) is_keyed: bool,
 }
 
 impl Default for Needs {
@@ -26,12 +29,13 @@
             position: 0,
             staleness_bound: None,
             idempotency: Idempotency::Idempotent,
+            is_keyed: false,
         }
     }
 }
 
 impl Needs {
-    /// The needs of a request of this class. `position` is the position that it must see; 0 for none.
+    /// The needs of a statement of this class. `position` is the position that it must see; 0 for none.
     pub(crate) fn new(class: &Class, position: Micros) -> Self {
         let staleness_bound = match class.requirement {
             Requirement::BoundedStaleness(bound) => Some(bound),
@@ -43,6 +47,21 @@
             position,
             staleness_bound,
             idempotency: class.idempotency,
+            is_keyed: matches!(class.idempotency, Idempotency::Keyed { .. }),
+        }
+    }
+
+    /// The needs of two statements together. No need of one stands in for another: of two positions the later
+    /// holds, of two bounds the shorter, and of two limits on executions the stricter.
+    pub(crate) fn and(self, other: Needs) -> Needs {
+        let bounds = [self.staleness_bound, other.staleness_bound];
+        Needs {
+            writes: self.writes || other.writes,
+            latest: self.latest || other.latest,
+            position: self.position.max(other.position),
+            staleness_bound: bounds.into_iter().flatten().min(),
+            idempotency: self.idempotency.and(other.idempotency),
+            is_keyed: self.is_keyed || other.is_keyed,
         }
     }
 
--- a/src/model/request.rs
+++ b/src/model/request.rs
@@ -1,6 +1,6 @@
 //! Client requests, their classes, and the attempts made for them.
 
-use crate::{EndpointId, GroupId, LoadReport, Micros, ResponseMetadata, Role, SessionInGroup};
+use crate::{EndpointId, GroupId, LoadReport, Micros, ResponseMetadata, Role};
 
 /// The number of a client request. A host never reuses a number.
 pub type RequestId = u32;
@@ -37,6 +37,20 @@
 }
 
 impl Idempotency {
+    /// How often two statements may be executed together.
+    pub fn and(self, other: Idempotency) -> Idempotency {
+        use Idempotency::{AtMostOnce, Idempotent, Keyed};
+        match (self, other) {
+            (AtMostOnce, _) | (_, AtMostOnce) => AtMostOnce,
+            (Idempotent, other) => other,
+            (keyed, Idempotent) => keyed,
+            (
+                Keyed { across_groups, window },
+                Keyed { across_groups: other_across, window: other_window },
+            ) => Keyed { across_groups: across_groups && other_across, window: window.min(other_window) },
+        }
+    }
+
     /// Whether a client may safely retry the request at any endpoint, even if it has been executed.
     pub fn is_repeatable_anywhere(self) -> bool {
         matches!(self, Idempotency::Idempotent | Idempotency::Keyed { across_groups: true, .. })
@@ -73,23 +87,42 @@
     }
 }
 
+/// A statement that a request executes, or several of them with the same class and session.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExecutedStatement {
+    /// The index of the class in [`Settings::classes`](crate::Settings::classes).
+    pub class: usize,
+    /// The session whose data the statement reads or writes; 0 for none.
+    pub session: u64,
+    /// How long before the arrival of the request the session's last write was committed, if known.
+    pub time_since_write: Option<Micros>,
+    /// If none of the session's commits is known: the time on the host's clock from which on they would be.
+    pub commits_known_since: Option<Micros>,
+    /// The position that the endpoint must have reached, if known.
+    pub min_position: Option<Micros>,
+}
+
+impl ExecutedStatement {
+    /// A statement of this class and session, with nothing known of the session's commits.
+    pub fn new(class: usize, session: u64) -> Self {
+        ExecutedStatement { class, session, ..ExecutedStatement::default() }
+    }
+}
+
 /// A client request.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
     /// The number of the request.
     pub id: RequestId,
-    /// The index of the class in [`Settings::classes`](crate::Settings::classes).
+    /// The index of the class under which the request is accounted, with its price, its priority and its
+    /// latency. What the request requires of an endpoint follows from its statements alone.
     pub class: usize,
+    /// The statements that the request executes. Their order has no meaning.
+    pub statements: Vec<ExecutedStatement>,
     /// The group that stores the data of the request.
     pub group: GroupId,
-    /// The session of the client; 0 for none.
-    pub session: u64,
     /// The index of the tenant in [`Settings::quotas`](crate::Settings::quotas).
     pub tenant: usize,
-    /// How long ago the session's last write was committed, if the client provides it.
-    pub time_since_write: Option<Micros>,
-    /// The position that the endpoint must have reached, if the client provides it.
-    pub min_position: Option<Micros>,
     /// How long the client still waits for an answer, counted from the arrival of the request.
     pub remaining: Micros,
     /// Whether the client has sent the same request before.
@@ -97,9 +130,9 @@
 }
 
 impl Request {
-    /// The session of the client in the group of the request.
-    pub fn session_in_group(&self) -> SessionInGroup {
-        SessionInGroup { session: self.session, group: self.group }
+    /// A request that executes one statement, and is accounted under the statement's class.
+    pub fn executing(statement: ExecutedStatement) -> Self {
+        Request { class: statement.class, statements: vec![statement], ..Request::default() }
     }
 }
 
--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a [`Router`](crate::Router) and its host.
 
 use super::settings_document::SettingsDocument;
-use crate::{Class, Micros};
+use crate::{Class, Idempotency, Micros, Request};
 
 /// How an endpoint handles a read that requires a position that the endpoint has not reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,6 +123,14 @@
         self.stale_read_behavior == StaleReadBehavior::Serve
     }
 
+    /// How often all statements of a request together may be executed; `None` if one of their classes, or the
+    /// class under which the request is accounted, does not exist.
+    pub(crate) fn idempotency_of(&self, request: &Request) -> Option<Idempotency> {
+        self.classes.get(request.class)?;
+        let classes = request.statements.iter().map(|statement| self.classes.get(statement.class));
+        classes.into_iter().try_fold(Idempotency::Idempotent, |all, class| Some(all.and(class?.idempotency)))
+    }
+
     /// Returns the index of the class with this name.
     pub fn class(&self, name: &[u8]) -> Option<usize> {
         self.class_names.iter().position(|class_name| class_name.as_bytes() == name)
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -136,7 +136,7 @@
     pub(super) fn record_latency(
         &mut self,
         index: EndpointIndex,
-        attempt: OutstandingAttempt,
+        attempt: &OutstandingAttempt,
         elapsed: Option<Micros>,
     ) {
         // The elapsed time of an attempt sent before this process was suspended includes the suspension and
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -2,7 +2,7 @@
 //! request.
 
 use crate::Router;
-use crate::model::{AttemptResult, EndpointState, Idempotency, Outcome, Role, SessionInGroup};
+use crate::model::{AttemptResult, EndpointState, Outcome, Role, SessionInGroup};
 use crate::state::{EndpointIndex, Failure, OutstandingAttempt};
 
 impl Router {
@@ -20,19 +20,18 @@
         let is_usable = self.is_usable(index);
         // The answer to a repeated write with an idempotency key holds the commit time of its first run,
         // which may be earlier than the send of this attempt.
-        let is_keyed = matches!(attempt.needs.idempotency, Idempotency::Keyed { .. });
-        let position_after = (!is_keyed).then_some(attempt.sent_at);
+        let position_after = (!attempt.needs.is_keyed).then_some(attempt.sent_at);
         self.topology.record_response(index, &result, position_after, is_usable, self.now);
         self.apply_clock_changes();
-        self.record_outcome(index, attempt, &result);
-        self.record_commit(index, attempt, &result);
+        self.record_outcome(index, &attempt, &result);
+        self.record_commit(index, &attempt, &result);
         self.update_indexes(index);
-        self.continue_request(index, attempt, &result, unloaded);
+        self.continue_request(index, &attempt, &result, unloaded);
         self.resume_held_in_group(group, primary_before);
     }
 
     /// Records what an outcome shows about the health and the load of the endpoint.
-    fn record_outcome(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
+    fn record_outcome(&mut self, index: EndpointIndex, attempt: &OutstandingAttempt, result: &AttemptResult) {
         match result.outcome {
             Outcome::Ok | Outcome::NotServable | Outcome::Error => {
                 self.topology.record_rejection(index, false, self.now);
@@ -64,7 +63,7 @@
 
     /// Records an attempt that timed out: a queueing delay, and a failure if the endpoint has answered
     /// nothing since the attempt was sent.
-    fn record_timeout(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
+    fn record_timeout(&mut self, index: EndpointIndex, attempt: &OutstandingAttempt) {
         self.record_latency(index, attempt, None);
         if self.topology[index].last_answer_at < attempt.sent_at {
             self.record_unavailable(index, attempt, Failure::NoAnswer);
@@ -77,7 +76,7 @@
     ///
     /// An endpoint that hangs with a full queue rejects each attempt immediately, so that it looks idle. A
     /// few rejections, on the other hand, must not eject an endpoint that answers the other attempts.
-    fn record_rejection(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
+    fn record_rejection(&mut self, index: EndpointIndex, attempt: &OutstandingAttempt) {
         if self.rejects_for_load(index) {
             self.record_latency(index, attempt, None);
         }
@@ -88,7 +87,7 @@
 
     /// Records that an endpoint does not serve requests at present. An endpoint that is listed as removed
     /// counts as down.
-    fn record_unavailable(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, failure: Failure) {
+    fn record_unavailable(&mut self, index: EndpointIndex, attempt: &OutstandingAttempt, failure: Failure) {
         // An attempt that was sent before this process was suspended shows nothing about the endpoint.
         if attempt.sent_at < self.resumed_at {
             return;
@@ -100,25 +99,28 @@
 
     /// Records the commit of a served write, which later reads of its session must see. This does not depend
     /// on the request: it may have had its final answer, or its client may have disconnected.
-    fn record_commit(&mut self, index: EndpointIndex, attempt: OutstandingAttempt, result: &AttemptResult) {
+    fn record_commit(&mut self, index: EndpointIndex, attempt: &OutstandingAttempt, result: &AttemptResult) {
         let is_commit = attempt.needs.writes && result.outcome == Outcome::Ok;
-        if is_commit && self.settings.remember_commits && attempt.session != 0 {
-            let group = self.topology[index].group;
-            let position = result.metadata.position.unwrap_or(self.topology.group_time(group, self.now));
-            self.commits.record(SessionInGroup { session: attempt.session, group }, position);
+        if !is_commit {
+            return;
+        }
+        let group = self.topology[index].group;
+        let position = result.metadata.position.unwrap_or(self.topology.group_time(group, self.now));
+        for &session in attempt.written_sessions.iter() {
+            self.commits.record(SessionInGroup { session, group }, position);
         }
     }
 
     /// Returns whether an attempt that timed out was lost: the endpoint has answered another attempt without
     /// queueing that was sent more than half the latency objective later.
-    fn is_lost(&self, index: EndpointIndex, attempt: OutstandingAttempt) -> bool {
+    fn is_lost(&self, index: EndpointIndex, attempt: &OutstandingAttempt) -> bool {
         let margin = self.settings.classes[attempt.class].latency_objective / 2;
         attempt.sent_at + margin < self.topology[index].last_undelayed_send
     }
 
     /// Records why an endpoint could not serve an attempt: it is not the primary, or it has not reached the
     /// position that a read required.
-    fn record_not_servable(&mut self, index: EndpointIndex, attempt: OutstandingAttempt) {
+    fn record_not_servable(&mut self, index: EndpointIndex, attempt: &OutstandingAttempt) {
         if attempt.needs.writes {
             return self.topology.record_write_rejected(index, self.now);
         }
@@ -136,7 +138,7 @@
     fn continue_request(
         &mut self,
         index: EndpointIndex,
-        attempt: OutstandingAttempt,
+        attempt: &OutstandingAttempt,
         result: &AttemptResult,
         unloaded: f64,
     ) {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -7,10 +7,11 @@
 use super::primary::SEARCH_INTERVAL;
 use crate::Router;
 use crate::model::{
-    Action, GiveUpReason, GroupId, Idempotency, Micros, Needs, PerNeed, Request, RequestId, Role,
-    process_pause_margin,
+    Action, ExecutedStatement, GiveUpReason, GroupId, Idempotency, Micros, Needs, PerNeed, Request,
+    RequestId, Requirement, Role, process_pause_margin,
 };
-use crate::state::{EndpointIndex, OutstandingAttempt, PendingRequest};
+use crate::state::{Arrival, EndpointIndex, OutstandingAttempt, PendingRequest};
+use std::sync::Arc;
 
 /// The probability that a request which is a retry by the client still meets the latency objective, which
 /// counts from the client's first attempt.
@@ -38,11 +39,12 @@
         self.traffic.arrivals.record(self.now);
         self.add_request_to_retry_budget();
         self.trial_budget = (self.trial_budget + health::TRIAL_SHARE).min(1.0);
-        let Some(class) = self.settings.classes.get(request.class) else {
+        if self.settings.idempotency_of(&request).is_none() {
             let reason = GiveUpReason::UnknownClass;
             let ruled_out = PerNeed::default();
             return self.actions.push(Action::Fail { request: request.id, reason, ruled_out });
-        };
+        }
+        let class = &self.settings.classes[request.class];
         self.traffic.offered[request.class].record(self.now);
         let retry_value = class.late_value + (1.0 - class.late_value) * RETRY_ON_TIME_CHANCE;
         let mut priority = class.priority_weight * if request.is_retry { retry_value } else { 1.0 };
@@ -54,16 +56,38 @@
             }
         }
         let id = request.id;
-        let group_time = self.topology.group_time(request.group, self.now);
-        let required_position =
-            self.commits.required_position(&request, &self.settings, group_time, self.now - self.created_at);
-        let needs = Needs::new(class, required_position);
+        let needs = self.needs_of(&request);
         self.routing.requests.count(PerNeed::of(&needs));
-        let pending = PendingRequest::new(request, class, self.now);
-        self.requests.insert(id, PendingRequest { priority, needs, shed_draw, ..pending });
+        let written_sessions = self.written_sessions(&request);
+        let pending = PendingRequest::new(request, &self.settings.classes, self.now);
+        let pending = PendingRequest { priority, needs, written_sessions, shed_draw, ..pending };
+        self.requests.insert(id, pending);
         self.advance(id);
     }
 
+    /// Returns what all statements of an arriving request need together.
+    fn needs_of(&self, request: &Request) -> Needs {
+        let group_time = self.topology.group_time(request.group, self.now);
+        let arrival = Arrival { now: self.now, group_time, started_at: self.created_at };
+        let needs = request.statements.iter().map(|statement| {
+            let position = self.commits.required_position(statement, request.group, &self.settings, arrival);
+            Needs::new(&self.settings.classes[statement.class], position)
+        });
+        needs.fold(Needs::default(), Needs::and)
+    }
+
+    /// Returns the sessions whose commits are remembered once a request is served.
+    fn written_sessions(&self, request: &Request) -> Arc<[u64]> {
+        if !self.settings.remember_commits {
+            return Arc::default();
+        }
+        let is_write = |statement: &&ExecutedStatement| {
+            let requirement = self.settings.classes[statement.class].requirement;
+            requirement == Requirement::Write && statement.session != 0
+        };
+        request.statements.iter().filter(is_write).map(|statement| statement.session).collect()
+    }
+
     /// Takes the next step for a request that has no attempt in flight: sends an attempt, holds the
     /// request, or gives its final answer.
     pub(super) fn advance(&mut self, id: RequestId) {
@@ -161,8 +185,8 @@
     /// Sends an attempt of a request to an endpoint.
     fn send(&mut self, id: RequestId, index: EndpointIndex, exploratory: bool) {
         let Some(pending) = self.requests.get(&id) else { return };
-        let Request { class, session, .. } = pending.request;
-        let needs = pending.needs;
+        let (class, needs) = (pending.request.class, pending.needs);
+        let written_sessions = pending.written_sessions.clone();
         let timeout = self.attempt_timeout(pending, exploratory);
         let start_within = self.start_within(&needs, index);
         self.count_read(&needs, index);
@@ -174,7 +198,14 @@
         endpoint.last_sent_at = self.now;
         endpoint.next_trial_at = endpoint.next_trial_at.max(self.now + health::TRIAL_INTERVAL);
         let sent_at = self.now;
-        endpoint.add_outstanding(OutstandingAttempt { request: id, attempt, class, session, needs, sent_at });
+        endpoint.add_outstanding(OutstandingAttempt {
+            request: id,
+            attempt,
+            class,
+            needs,
+            written_sessions,
+            sent_at,
+        });
         self.actions.push(Action::Send { request: id, endpoint: endpoint.id, timeout, start_within });
     }
 
--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -2,8 +2,9 @@
 
 use super::Router;
 use crate::model::{
-    Action, AttemptResult, Class, EndpointEntry, EndpointId, EndpointState, Event, GroupId, Idempotency,
-    LoadReport, Micros, Outcome, Request, RequestId, Requirement, ResponseMetadata, Role, Settings,
+    Action, AttemptResult, Class, EndpointEntry, EndpointId, EndpointState, Event, ExecutedStatement,
+    GroupId, Idempotency, LoadReport, Micros, Outcome, Request, RequestId, Requirement, ResponseMetadata,
+    Role, Settings,
 };
 use crate::random::RandomSource;
 
@@ -154,7 +155,7 @@
             id: request,
             group: request % 10,
             remaining: 500 * MS,
-            ..Request::default()
+            ..Request::executing(ExecutedStatement::default())
         }));
         let due = host.due_probes();
         assert_eq!(host.tick(), due, "after request {request}");
@@ -193,7 +194,11 @@
             host.now += 20 * MS;
             host.handle(update(false, vec![entry(5 * id + 1, EndpointState::Draining, 0)]));
             host.handle(update(false, vec![entry(10_000 + id, EndpointState::Ready, host.now)]));
-            host.handle(Event::Request(Request { id: id as RequestId, group: 9, ..Request::default() }));
+            host.handle(Event::Request(Request {
+                id: id as RequestId,
+                group: 9,
+                ..Request::executing(ExecutedStatement::default())
+            }));
             host.tick();
         }
     };
--- a/src/sim_adapter/events.rs
+++ b/src/sim_adapter/events.rs
@@ -4,8 +4,8 @@
 use super::codes::EventCode;
 use super::fields::FieldReader;
 use crate::{
-    AttemptResult, EndpointEntry, EndpointState, Event, LoadReport, Micros, Outcome, Request,
-    ResponseMetadata, Role, Settings,
+    AttemptResult, EndpointEntry, EndpointState, Event, ExecutedStatement, LoadReport, Micros, Outcome,
+    Request, ResponseMetadata, Role, Settings,
 };
 use std::collections::BTreeMap;
 
@@ -150,17 +150,8 @@
     let options = fields.u16()?;
     let time_since_write = (since_write_ms > 0.0).then_some((since_write_ms * 1000.0) as u64);
     let is_retry = options & RETRY_OPTION != 0;
-    Ok(Request {
-        id,
-        class,
-        group,
-        session,
-        tenant,
-        time_since_write,
-        min_position: None,
-        remaining,
-        is_retry,
-    })
+    let statement = ExecutedStatement { time_since_write, ..ExecutedStatement::new(class, session) };
+    Ok(Request { id, class, statements: vec![statement], group, tenant, remaining, is_retry })
 }
 
 fn decode_update(fields: &mut FieldReader<'_>, tables: &Tables) -> Result<Event, WireError> {
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -4,15 +4,17 @@
 use crate::estimators::{FailureRate, Occupancy, QueueingDelay, ReplicationEstimate};
 use crate::{Class, EndpointEntry, EndpointId, EndpointState, GroupId, Micros, Needs, Outcome, RequestId};
 use std::fmt;
+use std::sync::Arc;
 
 /// An attempt whose outcome is not known yet.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub(crate) struct OutstandingAttempt {
     pub(crate) request: RequestId,
     pub(crate) attempt: u32,
     pub(crate) class: usize,
-    pub(crate) session: u64,
     pub(crate) needs: Needs,
+    /// The sessions that the request writes for; empty if commits are not remembered.
+    pub(crate) written_sessions: Arc<[u64]>,
     pub(crate) sent_at: Micros,
 }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -24,6 +24,6 @@
 pub(crate) use per_role::PerRole;
 pub(crate) use probe_schedule::{ProbeSchedule, ProbeTimes};
 pub(crate) use serving_capacity::ServingCapacity;
-pub(crate) use session_commits::SessionCommits;
+pub(crate) use session_commits::{Arrival, SessionCommits};
 pub(crate) use topology::Topology;
 pub(crate) use usable_counts::UsableCounts;
--- a/src/state/pending_request.rs
+++ b/src/state/pending_request.rs
@@ -2,6 +2,7 @@
 
 use super::EndpointIndex;
 use crate::{Class, Idempotency, Micros, Needs, PerNeed, Request};
+use std::sync::Arc;
 
 /// A retry that waits until the retry budget covers it.
 #[derive(Clone, Copy)]
@@ -18,12 +19,14 @@
     pub(crate) request: Request,
     /// The time until which the client waits for an answer.
     pub(crate) deadline: Micros,
-    /// The time after which an answer has no value: the deadline, or the end of the latency objective if the
-    /// class gives late answers no value. No attempt starts after that time, but one that has started is
+    /// The time after which an answer to one of the statements has no value: the deadline, or the end of the
+    /// latency objective if the statement's class gives late answers no value. No attempt starts after that time, but one that has started is
     /// awaited until the deadline.
     pub(crate) useful_until: Micros,
     /// What the request needs of the endpoint that executes it.
     pub(crate) needs: Needs,
+    /// The sessions whose commits are remembered once the request is served.
+    pub(crate) written_sessions: Arc<[u64]>,
     /// How many endpoints each need ruled out when the request was last considered.
     pub(crate) ruled_out: PerNeed<u64>,
     /// The priority weight, reduced for retries by the client and for tenants beyond their quota.
@@ -59,10 +62,14 @@
 
 impl PendingRequest {
     /// Creates the state of a request that has just arrived.
-    pub(crate) fn new(request: Request, class: &Class, now: Micros) -> Self {
+    pub(crate) fn new(request: Request, classes: &[Class], now: Micros) -> Self {
         let deadline = now + request.remaining;
-        let objective_at = now + class.latency_objective.min(request.remaining);
-        let useful_until = if class.late_value > 0.0 { deadline } else { objective_at };
+        let useful_until = |class: &Class| match class.late_value > 0.0 {
+            true => deadline,
+            false => now + class.latency_objective.min(request.remaining),
+        };
+        let executed = request.statements.iter().map(|statement| useful_until(&classes[statement.class]));
+        let useful_until = executed.min().unwrap_or(deadline);
         PendingRequest { request, deadline, useful_until, ..PendingRequest::default() }
     }
 
--- a/src/state/session_commits.rs
+++ b/src/state/session_commits.rs
@@ -1,6 +1,6 @@
 //! The last commits of sessions, which the reads of these sessions must see, in bounded memory.
 
-use crate::{GroupId, Micros, Request, Requirement, SessionInGroup, Settings};
+use crate::{ExecutedStatement, GroupId, Micros, Requirement, SessionInGroup, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An upper bound of the memory of one commit: an entry of a map and one of a set, in nodes that are half
@@ -22,6 +22,24 @@
     groups: BTreeMap<GroupId, GroupCommits>,
 }
 
+/// The arrival of a request.
+#[derive(Clone, Copy)]
+pub(crate) struct Arrival {
+    /// The time on the host's clock.
+    pub(crate) now: Micros,
+    /// The time on the clock of the request's group.
+    pub(crate) group_time: Micros,
+    /// When this process started to record commits, on the host's clock.
+    pub(crate) started_at: Micros,
+}
+
+impl Arrival {
+    /// Converts a time before the arrival from the host's clock to the group's.
+    fn to_group_time(self, time: Micros) -> Micros {
+        self.group_time.saturating_sub(self.now.saturating_sub(time))
+    }
+}
+
 /// The commits of one group.
 #[derive(Default)]
 struct GroupCommits {
@@ -78,32 +96,40 @@
         group.positions.get(&session.session).copied().max(group.evicted_position)
     }
 
-    /// The position that an endpoint must have reached to serve a request that arrives when its group's clock
-    /// reads `group_time`; 0 for none. A bound on staleness is not included, because it depends on the time
-    /// at which the request is sent. `uptime` is the age of this table: a session without a commit may have
-    /// committed through an earlier process, which matters where endpoints don't check positions.
+    /// The position that an endpoint must have reached to execute a statement of a request that has arrived
+    /// for this group; 0 for none. A bound on staleness is not included, because it depends on the time at
+    /// which the request is sent.
     pub(crate) fn required_position(
         &self,
-        request: &Request,
+        statement: &ExecutedStatement,
+        group: GroupId,
         settings: &Settings,
-        group_time: Micros,
-        uptime: Micros,
+        arrival: Arrival,
     ) -> Micros {
-        match settings.classes[request.class].requirement {
-            Requirement::Latest => group_time,
-            Requirement::ReadYourWrites if settings.remember_commits => {
-                let is_bounded = request.session != 0 && settings.endpoints_serve_stale();
-                let started_at = is_bounded.then(|| group_time.saturating_sub(uptime));
-                self.last(request.session_in_group()).or(started_at).unwrap_or(0)
-            }
+        match settings.classes[statement.class].requirement {
+            Requirement::Latest => arrival.group_time,
             Requirement::ReadYourWrites => {
-                let last_write = request.time_since_write.map(|elapsed| group_time.saturating_sub(elapsed));
-                request.min_position.or(last_write).unwrap_or(0)
+                let session = SessionInGroup { session: statement.session, group };
+                let remembered =
+                    settings.remember_commits.then(|| self.remembered(session, settings, arrival));
+                let last_write =
+                    statement.time_since_write.map(|elapsed| arrival.group_time.saturating_sub(elapsed));
+                let first_known = statement.commits_known_since.map(|since| arrival.to_group_time(since));
+                let positions = [statement.min_position, last_write, first_known, remembered.flatten()];
+                positions.into_iter().flatten().max().unwrap_or(0)
             }
             Requirement::Write | Requirement::BoundedStaleness(_) | Requirement::Any => 0,
         }
     }
 
+    /// The position of a session's last commit. A session without a commit in this table may have committed
+    /// through an earlier process, which matters where endpoints don't check positions.
+    fn remembered(&self, session: SessionInGroup, settings: &Settings, arrival: Arrival) -> Option<Micros> {
+        let is_bounded = session.session != 0 && settings.endpoints_serve_stale();
+        let started_at = is_bounded.then(|| arrival.to_group_time(arrival.started_at));
+        self.last(session).or(started_at)
+    }
+
     /// Evicts a commit of the group that has the most, so that no group displaces those of the others.
     fn evict_lowest(&mut self) {
         let largest = self.groups.values_mut().max_by_key(|group| group.positions.len());
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -50,7 +50,7 @@
         request: 1,
         attempt: 0,
         class: 0,
-        session: 0,
+        written_sessions: std::sync::Arc::default(),
         needs: Needs::default(),
         sent_at: 0,
     };
--- a/tests/policy/clock_steps.rs
+++ b/tests/policy/clock_steps.rs
@@ -87,7 +87,8 @@
 
     /// Returns the endpoint that a read which requires this position is sent to.
     fn own_read(&mut self, position: Micros) -> Option<u64> {
-        self.read(Request { min_position: Some(position), ..request(0, READ_YOUR_WRITES) })
+        let statement = ExecutedStatement::new(READ_YOUR_WRITES, 0);
+        self.read(executing(0, ExecutedStatement { min_position: Some(position), ..statement }))
     }
 
     /// Sends a read, whose client disconnects immediately, and returns the endpoint that it was sent to.
--- a/tests/policy/freshness.rs
+++ b/tests/policy/freshness.rs
@@ -10,7 +10,7 @@
     for n in 2..=4 {
         harness.report(n, Role::Replica, harness.now - 3000 * MS);
     }
-    let own = Request { time_since_write: Some(500 * MS), ..request(1, READ_YOUR_WRITES) };
+    let own = own_read(1, 500 * MS);
     assert_eq!(sent_to(&harness.handle(Event::Request(own))), Some(1));
 }
 
@@ -18,8 +18,7 @@
 fn a_replica_that_rejected_a_read_counts_as_lagging() {
     let mut harness = RouterHarness::with_known_roles(settings(), 2);
     harness.now += 2000 * MS;
-    let own =
-        |id| Event::Request(Request { time_since_write: Some(500 * MS), ..request(id, READ_YOUR_WRITES) });
+    let own = |id| Event::Request(own_read(id, 500 * MS));
     assert_eq!(sent_to(&harness.handle(own(1))), Some(2));
     harness.now += 60 * MS;
     assert_eq!(sent_to(&harness.end_attempt(1, 0, 2, Outcome::NotServable, Some(Role::Replica))), Some(1));
@@ -50,11 +49,11 @@
 fn a_rejected_read_without_a_client_does_not_make_its_replica_count_as_lagging() {
     let mut harness = RouterHarness::with_known_roles(settings(), 2);
     harness.advance(2000 * MS);
-    let fresh = Request { time_since_write: Some(500 * MS), ..request(1, READ_YOUR_WRITES) };
+    let fresh = own_read(1, 500 * MS);
     let to = sent_to(&harness.handle(Event::Request(fresh))).unwrap();
     harness.handle(Event::ClientDisconnected(1));
     harness.end_attempt(1, 0, to, Outcome::NotServable, None);
-    let usual = Request { time_since_write: Some(500 * MS), ..request(2, READ_YOUR_WRITES) };
+    let usual = own_read(2, 500 * MS);
     let again = [2, 3].map(|id| sent_to(&harness.handle(Event::Request(Request { id, ..usual.clone() }))));
     assert!(again.contains(&Some(to)), "{again:?}");
 }
@@ -64,7 +63,7 @@
     let mut harness = RouterHarness::with_known_roles(Settings { remember_commits: true, ..settings() }, 2);
     harness.now += 1000 * MS;
     harness.report(2, Role::Replica, harness.now - 700 * MS);
-    let session_request = |id, class| Event::Request(Request { session: 7, ..request(id, class) });
+    let session_request = |id, class| Event::Request(executing(id, ExecutedStatement::new(class, 7)));
     harness.handle(session_request(1, WRITE));
     harness.end_attempt(1, 0, 1, Outcome::Ok, Some(Role::Primary));
     harness.now += 10 * MS;
@@ -73,7 +72,7 @@
         Some(1),
         "the replica is not expected to have the commit yet"
     );
-    let other = Request { session: 8, ..request(3, READ_YOUR_WRITES) };
+    let other = executing(3, ExecutedStatement::new(READ_YOUR_WRITES, 8));
     assert_eq!(sent_to(&harness.handle(Event::Request(other))), Some(2));
 }
 
@@ -87,7 +86,7 @@
 
 /// A request of the session that the tests of remembered commits use.
 fn of_session(id: u32, class: usize) -> Event {
-    Event::Request(Request { session: 7, ..request(id, class) })
+    Event::Request(executing(id, ExecutedStatement::new(class, 7)))
 }
 
 /// Answers a write with this commit position; `finished` means that the client no longer waits for the answer.
@@ -135,7 +134,7 @@
     answer_write(&mut harness, 1, commit, true);
     for session in 100..25_000 {
         harness.now += 1000;
-        harness.handle(Event::Request(Request { session, ..request(session as u32, WRITE) }));
+        harness.handle(Event::Request(executing(session as u32, ExecutedStatement::new(WRITE, session))));
         let now = harness.now;
         answer_write(&mut harness, session as u32, now, true);
     }
@@ -156,14 +155,14 @@
     let mut harness =
         RouterHarness::with_known_roles(Settings { probes: false, ..settings_with_stale_reads() }, 3);
     harness.advance(100 * MS);
-    let own = Request { time_since_write: Some(50 * MS), ..request(1, READ_YOUR_WRITES) };
+    let own = own_read(1, 50 * MS);
     assert_eq!(
         sent_to(&harness.handle(Event::Request(own))),
         Some(1),
         "only the primary is known to have the session's write"
     );
     harness.report(2, Role::Replica, harness.now - 20 * MS);
-    let own = Request { time_since_write: Some(50 * MS), ..request(2, READ_YOUR_WRITES) };
+    let own = own_read(2, 50 * MS);
     assert_eq!(sent_to(&harness.handle(Event::Request(own))), Some(2));
     assert!(matches!(sent_to(&harness.request(3, BOUNDED_STALENESS)), Some(2 | 3)));
 }
--- a/tests/policy/harness.rs
+++ b/tests/policy/harness.rs
@@ -60,17 +60,18 @@
 
 /// A request to group 1 whose client waits for 2 s.
 pub fn request(id: u32, class: usize) -> Request {
-    Request {
-        id,
-        class,
-        group: 1,
-        session: 0,
-        tenant: 0,
-        time_since_write: None,
-        min_position: None,
-        remaining: 2000 * MS,
-        is_retry: false,
-    }
+    executing(id, ExecutedStatement::new(class, 0))
+}
+
+/// A request like [`request`] that executes this statement.
+pub fn executing(id: u32, statement: ExecutedStatement) -> Request {
+    Request { id, group: 1, remaining: 2000 * MS, ..Request::executing(statement) }
+}
+
+/// A read of own writes whose session has committed this long before.
+pub fn own_read(id: u32, time_since_write: Micros) -> Request {
+    let statement = ExecutedStatement::new(READ_YOUR_WRITES, 0);
+    executing(id, ExecutedStatement { time_since_write: Some(time_since_write), ..statement })
 }
 
 const DEFAULT_SEED: u64 = 5;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(missing_docs)]
 
+mod batch_needs;
 mod daemon;
 mod extended;
 mod fault_injection;
