A batch for several sessions commits and reads for each of them

A session whose commit was made by a batch that named another session first read its own data from a replica without the commit. Cause: the plan of a batch kept the session of the first bound portal that had one, and commits, positions of reads and the order in a pipeline were those of this session. Change: each execution keeps its session; written sessions are recorded each, positions are asked for each, and the order in a pipeline holds for each. An execution without a session counts for all sessions of its batch.

--- a/src/front/connection_manager/tests.rs
+++ b/src/front/connection_manager/tests.rs
@@ -40,19 +40,19 @@
 }
 
 fn query(id: u8) -> ClientEvent<SimpleQuery> {
-    command(id, false, 7)
+    command(id, false, &[7])
 }
 
 fn write_of_another_session(id: u8) -> ClientEvent<SimpleQuery> {
-    command(id, true, 8)
+    command(id, true, &[8])
 }
 
-fn command(id: u8, writes: bool, session: u64) -> ClientEvent<SimpleQuery> {
+fn command(id: u8, writes: bool, sessions: &[u64]) -> ClientEvent<SimpleQuery> {
     let request = ParsedRequest {
         class: 0,
-        statements: vec![ExecutedStatement::new(0, session)],
+        statements: sessions.iter().map(|session| ExecutedStatement::new(0, *session)).collect(),
         writes,
-        written_sessions: if writes { vec![session] } else { Vec::new() },
+        written_sessions: if writes { sessions.to_vec() } else { Vec::new() },
         group: GROUP,
         at_most_once: false,
         is_retry: false,
@@ -122,6 +122,28 @@
     assert!(replies[1].windows(5).any(|code| code == b"08007"), "the reply to the write is an error");
 }
 
+/// Guards against a read of several sessions that sees a later write of one of them, and against a read that lacks
+/// the commit of a write for several sessions.
+#[test]
+fn command_of_several_sessions_keeps_its_order_with_writes_of_each_of_them() {
+    let mut harness = Harness::connected();
+    let read = started(harness.handle(0, command(1, false, &[7, 8])))[0].id;
+    assert!(
+        started(harness.handle(0, write_of_another_session(2))).is_empty(),
+        "the write of session 8 waits"
+    );
+    let write = started(harness.manager.answer(&mut harness.registry, 1, CLIENT, read, served(1)));
+    let confirmed = FinalAnswer::Served(MemberResponse { bytes: Vec::new(), position: Some(77), held: None });
+    harness.manager.answer(&mut harness.registry, 2, CLIENT, write[0].id, confirmed);
+    let later = |event| match event {
+        ClientEvent::Command(query) => ClientEvent::Command(SimpleQuery { received_at: 3, ..query }),
+        event => event,
+    };
+    let reads = started(harness.handle(3, later(command(3, false, &[7, 8]))));
+    let positions: Vec<_> = reads[0].statements.iter().map(|statement| statement.min_position).collect();
+    assert_eq!(positions, [None, Some(77)], "session 8 has written, session 7 has not");
+}
+
 #[test]
 fn disconnect_releases_the_clients_reordered_replies() {
     let mut harness = Harness::connected();
--- a/src/front/postgres/batch_needs_tests/mod.rs
+++ b/src/front/postgres/batch_needs_tests/mod.rs
@@ -29,7 +29,7 @@
 #[test]
 fn planted_losses_of_one_need_are_found() {
     let kinds = [Need::Bound, Need::OwnWrites, Need::Present, Need::Executions].map(Plant::Drop);
-    for plant in kinds.into_iter().chain([Plant::DropShorterBound]) {
+    for plant in kinds.into_iter().chain([Plant::DropShorterBound, Plant::DropLaterCommit]) {
         let is_found = PLANT_SEEDS.clone().any(|seed| {
             let mut play = Play::new(seed, plant);
             (0..STEPS).any(|_| {
--- a/src/front/postgres/batch_needs_tests/play.rs
+++ b/src/front/postgres/batch_needs_tests/play.rs
@@ -34,6 +34,8 @@
     Drop(Need),
     /// Of two bounds, the shorter is dropped.
     DropShorterBound,
+    /// Of two sessions that a batch reads, the one with the later commit is dropped.
+    DropLaterCommit,
 }
 
 /// A kind of need.
@@ -464,6 +466,10 @@
                 let longest = statements.iter().filter_map(bound_of).max();
                 statements.retain(|statement| bound_of(statement).is_none_or(|bound| Some(bound) == longest));
             }
+            Plant::DropLaterCommit => {
+                let first = statements.iter().map(|statement| statement.min_position).min().flatten();
+                statements.iter_mut().for_each(|statement| statement.min_position = first);
+            }
         }
     }
 
@@ -501,14 +507,13 @@
 
     /// Prepares and binds statements of drawn classes, some of which are then not executed.
     fn bind_portals(&mut self, batch: &mut Batch, messages: &mut Vec<Vec<u8>>) -> Vec<Portal> {
-        let session = match self.random.below(SESSIONS + 1) {
-            0 => String::new(),
-            session => session.to_string(),
-        };
         let mut portals = Vec::new();
         for number in 0..1 + self.random.below(MAX_STATEMENTS) {
             let class = self.random.below(self.settings.classes.len() as u64) as usize;
-            let session = session.clone();
+            let session = match self.random.below(SESSIONS + 1) {
+                0 => String::new(),
+                session => session.to_string(),
+            };
             let statement = format!("c{class}");
             if self.clients.get_mut(&batch.client).unwrap().prepared.insert(statement.clone()) {
                 messages.push(self.parse(class));
--- a/src/front/postgres/execution.rs
+++ b/src/front/postgres/execution.rs
@@ -2,6 +2,7 @@
 
 use super::analysis::AnalyzedStatement;
 use crate::Micros;
+use std::collections::BTreeSet;
 
 /// One execution of a portal, or of a simple query.
 #[derive(Clone, Copy)]
@@ -38,16 +39,14 @@
 #[derive(Default)]
 pub struct Executions {
     all: Vec<Execution>,
-    /// The session of the first execution that identifies one, 0 if none does.
-    session: u64,
+    /// The sessions that the executions identify.
+    sessions: BTreeSet<u64>,
 }
 
 impl Executions {
     /// Adds an execution.
     pub fn push(&mut self, execution: Execution) {
-        if self.session == 0 {
-            self.session = execution.session;
-        }
+        self.sessions.extend((execution.session != 0).then_some(execution.session));
         self.all.push(execution);
     }
 
@@ -61,10 +60,15 @@
         self.all.iter()
     }
 
-    /// The session of the selected executions, which is that of the batch; none if there are none.
+    /// The sessions of the selected executions, each once; 0 stands for an unknown session. An execution that
+    /// identifies no session counts for all sessions of its batch, as it may be on behalf of any of them.
     pub fn sessions_of(&self, selected: impl Fn(&Execution) -> bool) -> Vec<u64> {
-        let is_one_selected = self.all.iter().any(selected);
-        if is_one_selected { vec![self.session] } else { Vec::new() }
+        let named: BTreeSet<u64> =
+            self.all.iter().filter(|one| selected(one)).map(|one| one.session).collect();
+        if named.contains(&0) && !self.sessions.is_empty() {
+            return self.sessions.iter().copied().collect();
+        }
+        named.into_iter().collect()
     }
 }
 
--- a/tests/proxy/batch_needs.rs
+++ b/tests/proxy/batch_needs.rs
@@ -51,3 +51,30 @@
         }
     }
 }
+
+/// Guards against the loss of a commit to that of another session: a batch that writes for two sessions commits for
+/// both, and one that reads for two must see the commits of both.
+#[test]
+fn batch_of_two_sessions_commits_and_reads_for_each_of_them() {
+    let (primary, replica) = (MockMember::start(true), MockMember::start(false));
+    let proxy = Proxy::start_with_shell(&[&primary, &replica], START_WITH_BOUND, "");
+    assert_eq!(proxy.connect().query(&write_query(0, 900)), SERVED, "the proxy knows the primary");
+    let before = primary.position_ms();
+    replica.fix_position_ms(Some(before));
+    std::thread::sleep(Duration::from_millis(20));
+    let run = |batch: &str| {
+        let mut client = proxy.connect_extended();
+        client.send(&extended_messages(batch));
+        client.read_reply()
+    };
+    let write = "P w INSERT INTO entries VALUES ($1, 'x') /* d=9000 */ | B a w 7f | B b w 8f | E a | E b | S";
+    assert_eq!(run(write), "1 2 2 D(value) C D(value) C Z");
+    let read = "P o SELECT payload FROM drafts WHERE ref = $1 /* d=9000 */";
+    let executed = primary.executed_count();
+    assert_eq!(run(&format!("{read} | B a o 8f | E a | S")), "1 2 D(value) C Z");
+    assert_eq!(
+        run(&format!("{read} | B a o 9f | B b o 8f | E a | E b | S")),
+        "1 2 2 D(value) C D(value) C Z"
+    );
+    assert_eq!((primary.executed_count() - executed, replica.executed_count()), (3, 0));
+}
