Test: a position that the host names holds beside the remembered commit

Cause: where the router remembers commits, it took its own and dropped the position that the front asks for, which a read behind an unanswered write of another session on its connection has.

--- a/tests/policy/freshness.rs
+++ b/tests/policy/freshness.rs
@@ -336,3 +336,19 @@
         assert_eq!(repeated.is_some(), expected, "{passed} ms of 2000 ms have passed");
     }
 }
+
+/// Guards against a remembered commit that stands in for another position: a read in a pipeline must also see the
+/// unanswered writes of other sessions ahead of it.
+#[test]
+fn a_position_that_the_host_names_holds_beside_the_remembered_commit() {
+    let mut harness = harness_that_remembers_commits();
+    harness.handle(of_session(1, WRITE));
+    let commit = harness.now;
+    answer_write(&mut harness, 1, commit, true);
+    harness.advance(100 * MS);
+    harness.report(2, Role::Replica, commit + 10 * MS);
+    assert_eq!(sent_to(&harness.handle(of_session(2, READ_YOUR_WRITES))), Some(2));
+    let statement = ExecutedStatement::new(READ_YOUR_WRITES, 7);
+    let named = ExecutedStatement { min_position: Some(commit + 50 * MS), ..statement };
+    assert_eq!(sent_to(&harness.handle(Event::Request(executing(3, named)))), Some(1));
+}
