The soak plays batches on the extended listener while replicas fall behind

Change: members speak extended queries and put into each answer what they had applied; three clients for each proxy send batches of one to five statements of two sessions, some cut by a Flush; one replica after another falls behind in three of four runs. The checker judges each answer by its statement's need. The planted fault hidden-lag: replicas report positions that they have not reached. The draws of earlier kinds are as before, except that members get more work.

--- a/soak/src/actions.rs
+++ b/soak/src/actions.rs
@@ -16,6 +16,8 @@
 const OLD_AGENT_LIFETIME: Micros = 1500 * MS;
 /// Time between SIGSTOP and SIGCONT of the planted long stop.
 const PLANTED_STOP: Micros = 4 * SECOND;
+/// Lag of the replicas of the planted hidden lag.
+const PLANTED_LAG: Micros = 3 * SECOND;
 /// Pause between two checks whether a flood is to end.
 const FLOOD_STEP: Duration = Duration::from_millis(5);
 
@@ -56,6 +58,7 @@
                 let members = self.members.iter().filter(|member| member.group == group);
                 members.for_each(|member| member.lag.store(lag, Ordering::SeqCst));
             }
+            Action::MemberLag { member, lag } => self.members[member].lag.store(lag, Ordering::SeqCst),
             Action::Reload { proxy } => self.reload(now, proxy)?,
             Action::Restart { proxy } => self.restart(now, proxy),
             Action::Kill { proxy, down } => {
@@ -78,6 +81,13 @@
                 self.agents.iter().for_each(swallows);
             }
             Action::PlantMixedValues => self.members[0].mixes_values.store(true, Ordering::SeqCst),
+            Action::PlantHiddenLag => {
+                let replicas = self.members.iter().filter(|member| !member.is_primary());
+                replicas.for_each(|member| {
+                    member.lag.store(PLANTED_LAG, Ordering::SeqCst);
+                    member.hides_lag.store(true, Ordering::SeqCst);
+                });
+            }
             Action::PlantLongStop => {
                 self.proxies[0].signal(Signal::STOP);
                 self.followups.push((now + PLANTED_STOP, Followup::Continue(0)));
@@ -125,7 +135,7 @@
             other.group == member.group && other.index != from && usable
         };
         let Some(next) = self.members.iter().rev().find(is_eligible) else { return };
-        member.primary.store(false, Ordering::SeqCst);
+        member.demote();
         next.primary.store(true, Ordering::SeqCst);
         self.change_listed(now, from, |listed| listed.primary = false);
         self.change_listed(now, next.index, |listed| listed.primary = true);
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -1,5 +1,7 @@
 //! Checks the rules of the protocol documentation on the records of a run.
 
+use crate::batch_checker::check_batches;
+use crate::batch_client::BatchEnd;
 use crate::client::LATE_LIMIT;
 use crate::discovery::member_name;
 use crate::history::{AttemptEnd, AttemptRecord, History, MS, Micros, RequestEnd, RequestRecord, SECOND};
@@ -15,7 +17,7 @@
 /// Allowance by which the wait announced to a member may exceed the time left to the client.
 const TOLD_WAIT_SLACK: Micros = 150 * MS;
 /// Allowance for the delay with which an emulator sees bytes on a busy machine.
-const EMULATOR_SLACK: Micros = 40 * MS;
+pub(crate) const EMULATOR_SLACK: Micros = 40 * MS;
 /// Ratio of the longest stall that any emulator thread may have met to the stall that the watching thread
 /// measured. A finding whose excess is within this multiple of the measured stall is unclear.
 const STALL_FACTOR: Micros = 2;
@@ -41,7 +43,7 @@
 }
 
 impl Finding {
-    fn new(rule: &'static str, at: Micros, text: String) -> Finding {
+    pub(crate) fn new(rule: &'static str, at: Micros, text: String) -> Finding {
         Finding { rule, at, request: None, text, excess: None, unclear: false }
     }
 
@@ -73,6 +75,7 @@
         let attempts = records.attempts.get(&request.id).map_or(&[][..], Vec::as_slice);
         check_request(request, attempts, scenario, &mut findings);
     }
+    check_batches(scenario, history, &mut findings);
     check_drains(scenario, history, &mut findings);
     check_slow_start(history, &mut findings);
     for incident in history.incidents.lock().unwrap().iter() {
@@ -264,13 +267,17 @@
     };
     let attempts = history.attempts.lock().unwrap();
     let rejected = attempts.iter().filter(|attempt| attempt.end == AttemptEnd::Rejected);
+    let batches = history.batches.lock().unwrap();
+    let served = batches.iter().filter(|batch| matches!(batch.end, BatchEnd::Served(_))).count();
     format!(
-        "{} requests: {} served, {} errors, {} left, {} excused; {} attempts, {} turned away",
+        "{} requests: {} served, {} errors, {} left, {} excused; {served} of {} batches served; {} attempts, \
+         {} turned away",
         requests.len(),
         count(|end| matches!(end, RequestEnd::Served(_))),
         count(|end| matches!(end, RequestEnd::Error(_))),
         count(|end| *end == RequestEnd::Left),
         count(|end| *end == RequestEnd::Excused),
+        batches.len(),
         attempts.len(),
         rejected.count()
     )
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -1,6 +1,7 @@
 //! The records of a run: what clients, members, discovery and the processes saw. The rules are checked on
 //! these records alone.
 
+use crate::batch_client::BatchRecord;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -178,6 +179,8 @@
 pub struct History {
     /// Requests, in the order in which they ended.
     pub requests: Mutex<Vec<RequestRecord>>,
+    /// Batches, in the order in which they ended.
+    pub batches: Mutex<Vec<BatchRecord>>,
     /// Attempts, in the order in which members recorded them.
     pub attempts: Mutex<Vec<AttemptRecord>>,
     /// Changes of the list, in the order of their revisions.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,9 +4,12 @@
 //! violation is reported with its seed and the events of one affected request.
 
 mod actions;
+mod batch_checker;
+pub mod batch_client;
 pub mod checker;
 pub mod client;
 pub mod discovery;
+mod extended_session;
 pub mod flood;
 pub mod history;
 pub mod member;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -33,7 +33,7 @@
     /// show what was done and which requests were not served, second by second
     #[argh(switch)]
     show: bool,
-    /// a fault to plant, which the checker has to find: swallowed-changes, mixed-values, long-stop, crash
+    /// a fault to plant, which the checker has to find: swallowed-changes, mixed-values, hidden-lag, long-stop, crash
     #[argh(option, from_str_fn(parse_plant))]
     plant: Option<Action>,
 }
@@ -59,9 +59,12 @@
     match text {
         "swallowed-changes" => Ok(Action::PlantSwallowedChanges),
         "mixed-values" => Ok(Action::PlantMixedValues),
+        "hidden-lag" => Ok(Action::PlantHiddenLag),
         "long-stop" => Ok(Action::PlantLongStop),
         "crash" => Ok(Action::PlantCrash),
-        _ => Err(format!("expected swallowed-changes, mixed-values, long-stop or crash, got {text:?}")),
+        _ => Err(format!(
+            "expected swallowed-changes, mixed-values, hidden-lag, long-stop or crash, got {text:?}"
+        )),
     }
 }
 
--- a/soak/src/member.rs
+++ b/soak/src/member.rs
@@ -1,8 +1,9 @@
 //! Emulated members: servers of simple queries with a role, a replication lag, a capacity, and faults.
 
+use crate::extended_session::ExtendedSession;
 use crate::history::{AttemptEnd, AttemptRecord, MS, Micros, RunContext, SECOND};
 use crate::random::Draws;
-use crate::scenario::{KEY_WINDOW, SLOW_START_CAPACITY, SLOW_START_DURATION};
+use crate::scenario::{KEY_WINDOW, LEAST_LAG, SLOW_START_CAPACITY, SLOW_START_DURATION};
 use crate::wire::{MemberReply, message, read_body, read_message};
 use std::collections::HashMap;
 use std::io::Write;
@@ -11,6 +12,9 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+/// Time after a change of the primary within which a read may still reach the former one: proxies learn of the change
+/// from an answer.
+const FORMER_PRIMARY_TIME: Micros = SECOND;
 /// Interval at which a listener polls for connections and for a fault of its member.
 const ACCEPT_STEP: Duration = Duration::from_millis(2);
 /// Read timeout of a member's connections: the longest time that a member keeps an unused connection open.
@@ -51,6 +55,27 @@
     Down,
 }
 
+/// The role of a member when it executes a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberRole {
+    /// The primary.
+    Primary,
+    /// A replica that was the primary a moment before.
+    FormerPrimary,
+    /// A replica.
+    Replica,
+}
+
+impl std::fmt::Display for MemberRole {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            MemberRole::Primary => "primary",
+            MemberRole::FormerPrimary => "former",
+            MemberRole::Replica => "replica",
+        })
+    }
+}
+
 /// An emulated member.
 pub struct Member {
     /// Its index.
@@ -66,8 +91,12 @@
     /// Whether it rejects reads that need newer data than it has, with SQLSTATE 72000, instead of serving
     /// them.
     pub rejects_stale: bool,
+    /// When it last stopped being primary; 0 if it never did.
+    demoted_at: AtomicU64,
     /// A planted fault: it answers with the value of another request.
     pub mixes_values: AtomicBool,
+    /// A planted fault: it reports a position as if it had no lag.
+    pub hides_lag: AtomicBool,
     /// The time of the run at which its slow start began; 0 if it started before the run.
     pub warming_since: AtomicU64,
     /// The greatest position returned by [`Member::position`].
@@ -98,9 +127,11 @@
             group,
             primary: AtomicBool::new(false),
             draining: AtomicBool::new(false),
-            lag: AtomicU64::new(5 * MS),
+            lag: AtomicU64::new(LEAST_LAG),
             rejects_stale,
+            demoted_at: AtomicU64::new(0),
             mixes_values: AtomicBool::new(false),
+            hides_lag: AtomicBool::new(false),
             warming_since: AtomicU64::new(0),
             position: AtomicU64::new(0),
             busy_cores: Mutex::new(0),
@@ -160,6 +191,7 @@
         stream.set_read_timeout(Some(MAX_HANG))?;
         let opened_at = self.run.clock.now();
         let mut draws = Draws::new(self.run.seed, opened_at);
+        let mut extended = ExtendedSession::of_proxy(proxy);
         read_body(&mut stream)?;
         if self.fault() == MemberFault::SlowToConnect {
             std::thread::sleep(Duration::from_millis(draws.between(50, 1500)));
@@ -169,7 +201,16 @@
             let idle = if self.fault() == MemberFault::ClosesIdle { IDLE_TIME } else { MAX_HANG };
             stream.set_read_timeout(Some(idle))?;
             let (tag, body) = read_message(&mut stream)?;
-            if tag != b'Q' || opened_at < self.went_down_at.load(Ordering::SeqCst) {
+            if opened_at < self.went_down_at.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+            if matches!(tag, b'P' | b'B' | b'E' | b'D' | b'C' | b'H' | b'S') {
+                if !extended.handle(self, &mut stream, (tag, &body), &mut draws)? {
+                    return Ok(());
+                }
+                continue;
+            }
+            if tag != b'Q' {
                 return Ok(());
             }
             let text = String::from_utf8_lossy(&body[..body.len().saturating_sub(1)]).into_owned();
@@ -185,14 +226,14 @@
 
     /// Returns the time of the run up to which the member has applied the log. It never decreases, not even
     /// when the lag grows or the role changes.
-    fn position(&self) -> Micros {
+    pub(crate) fn position(&self) -> Micros {
         let lag = if self.primary.load(Ordering::SeqCst) { 0 } else { self.lag.load(Ordering::SeqCst) };
         let position = self.run.clock.now().saturating_sub(lag);
         self.position.fetch_max(position, Ordering::SeqCst).max(position)
     }
 
     /// Waits for a free core and executes a request, which takes longer during slow start.
-    fn work(&self, draws: &mut Draws) {
+    pub(crate) fn work(&self, draws: &mut Draws) {
         let mut busy = self.busy_cores.lock().unwrap();
         while *busy >= CORES {
             busy = self.core_free.wait(busy).unwrap();
@@ -213,6 +254,45 @@
         }
     }
 
+    /// Returns the time of the run.
+    pub(crate) fn now(&self) -> Micros {
+        self.run.clock.now()
+    }
+
+    /// Returns whether it is primary.
+    pub(crate) fn is_primary(&self) -> bool {
+        self.primary.load(Ordering::SeqCst)
+    }
+
+    /// Makes it a replica.
+    pub(crate) fn demote(&self) {
+        self.demoted_at.store(self.now(), Ordering::SeqCst);
+        self.primary.store(false, Ordering::SeqCst);
+    }
+
+    /// Returns its role, as batch answers name it.
+    pub(crate) fn role(&self) -> MemberRole {
+        let demoted_at = self.demoted_at.load(Ordering::SeqCst);
+        match self.is_primary() {
+            true => MemberRole::Primary,
+            false if demoted_at > 0 && self.now() < demoted_at + FORMER_PRIMARY_TIME => {
+                MemberRole::FormerPrimary
+            }
+            false => MemberRole::Replica,
+        }
+    }
+
+    /// Records an attempt.
+    pub(crate) fn record(&self, attempt: AttemptRecord) {
+        self.run.history.attempts.lock().unwrap().push(attempt);
+    }
+
+    /// Returns the Unix time in milliseconds that it reports as this position.
+    pub(crate) fn reported_ms(&self, position: Micros) -> u64 {
+        let hides_lag = self.hides_lag.load(Ordering::SeqCst);
+        self.unix_ms(if hides_lag { self.now() } else { position })
+    }
+
     /// Converts a time of the run to a Unix time in milliseconds.
     fn unix_ms(&self, position: Micros) -> u64 {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
@@ -223,7 +303,7 @@
         if self.fault() == MemberFault::Hangs {
             return Ok(());
         }
-        let position_ms = self.unix_ms(self.position());
+        let position_ms = self.reported_ms(self.position());
         let primary = self.primary.load(Ordering::SeqCst);
         let report = format!("x0={}.{:03},x1={}", position_ms / 1000, position_ms % 1000, u8::from(primary));
         MemberReply { result: Ok(&report), primary, position_ms }.write(stream)
@@ -272,8 +352,8 @@
             primary,
             end,
         };
-        self.run.history.attempts.lock().unwrap().push(recorded);
-        let reply = |result| MemberReply { result, primary, position_ms: self.unix_ms(position) };
+        self.record(recorded);
+        let reply = |result| MemberReply { result, primary, position_ms: self.reported_ms(position) };
         match end {
             AttemptEnd::Served => reply(Ok(&value)).write(stream)?,
             AttemptEnd::NotServable => {
@@ -281,18 +361,28 @@
             }
             AttemptEnd::Error => reply(Err("XX000")).write(stream)?,
             AttemptEnd::Rejected => reply(Err("53300")).write(stream)?,
-            AttemptEnd::NoAnswer if fault == MemberFault::Hangs => {
-                let _ = std::io::Read::read(stream, &mut [0]);
-                return Ok(false);
-            }
             AttemptEnd::NoAnswer => {
-                let _ = rustix::net::sockopt::set_socket_linger(&*stream, Some(Duration::ZERO));
+                self.end_unanswered(stream);
                 return Ok(false);
             }
         }
         Ok(true)
     }
 
+    /// Waits until the proxy closes a connection without an answer, or resets it, as the fault says.
+    pub(crate) fn end_unanswered(&self, stream: &mut TcpStream) {
+        if self.fault() == MemberFault::Hangs {
+            let _ = std::io::Read::read(stream, &mut [0]);
+        } else {
+            let _ = rustix::net::sockopt::set_socket_linger(&*stream, Some(Duration::ZERO));
+        }
+    }
+
+    /// Returns how an execution of this statement ends now, and whether it runs.
+    pub(crate) fn outcome_of(&self, text: &str, position: Micros, draws: &mut Draws) -> (AttemptEnd, bool) {
+        self.outcome(text, self.is_primary(), position, self.fault(), draws)
+    }
+
     /// Returns how an attempt ends, and whether its statement runs.
     fn outcome(
         &self,
@@ -323,7 +413,7 @@
 }
 
 /// Returns the value of a field in a statement's comment; `name` includes the `=`.
-fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+pub(crate) fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let comment = text.split("/* ").nth(1)?.strip_suffix(" */")?;
     comment.split(',').find_map(|field| field.strip_prefix(name))
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -25,6 +25,8 @@
 pub(crate) const ROTATION_DELAY: Micros = 300 * MS;
 /// Mean pause of a client between two requests.
 const THINK_TIME: Micros = 90 * MS;
+/// Number of clients of each proxy's extended listener.
+const BATCH_CLIENTS: u64 = 3;
 /// The lowest second octet of a run's addresses in 127.0.0.0/8.
 const FIRST_NETWORK: u64 = 20;
 /// Number of second octets, chosen by the seed so that runs side by side use different addresses.
@@ -45,6 +47,14 @@
     EndAgent(Arc<Agent>),
 }
 
+/// Returns the file that configures an extended listener at this address.
+fn extended_listener_text(address: SocketAddr) -> String {
+    format!(
+        "listen = '{address}'\nread_class = 'any'\nwrite_class = 'write'\ngroup = 0\nwait_ms = 1000\n\
+         session_parameter = 1\nstatements = 64\n"
+    )
+}
+
 /// The state of a run that is being played.
 pub(crate) struct Run<'a> {
     pub(crate) scenario: &'a Scenario,
@@ -55,6 +65,8 @@
     pub(crate) members: Vec<Arc<Member>>,
     pub(crate) member_addresses: Vec<Vec<SocketAddr>>,
     pub(crate) proxies: Vec<Arc<Proxy>>,
+    /// The addresses of the proxies' extended listeners.
+    pub(crate) extended_addresses: Vec<SocketAddr>,
     pub(crate) agents: Vec<Arc<Agent>>,
     pub(crate) notices: NoticeSchedule,
     pub(crate) followups: Vec<(Micros, Followup)>,
@@ -115,6 +127,7 @@
             members,
             member_addresses: Vec::new(),
             proxies: Vec::new(),
+            extended_addresses: Vec::new(),
             agents: Vec::new(),
             notices: NoticeSchedule::new(scenario),
             followups: Vec::new(),
@@ -132,8 +145,14 @@
             let agent = run.new_agent(proxy)?;
             run.agents.push(agent);
             let address = run.free_address(proxy)?;
+            let extended = run.free_address(proxy)?;
             let (history, clock) = (run.history.clone(), run.clock);
-            run.proxies.push(Arc::new(Proxy::new(proxy, address, program, folder, history, clock)?));
+            let process = Proxy::new(proxy, address, program, folder, history, clock)?;
+            let listener_file = folder.join(format!("postgres-{proxy}.toml"));
+            std::fs::write(&listener_file, extended_listener_text(extended))?;
+            let arguments = ["--postgres".into(), listener_file.into_os_string()];
+            run.proxies.push(Arc::new(process.with_arguments(arguments)));
+            run.extended_addresses.push(extended);
         }
         Ok(run)
     }
@@ -185,6 +204,11 @@
                 let (clients, number) = (clients.clone(), (proxy * 1000 + client) as u64);
                 self.spawn(move || clients.run_client(number, proxy, THINK_TIME));
             }
+            for client in 0..BATCH_CLIENTS {
+                let (clients, address) = (clients.clone(), self.extended_addresses[proxy]);
+                let number = (proxy * 1000) as u64 + client;
+                self.spawn(move || clients.run_batch_client(number, proxy, address, THINK_TIME));
+            }
             if self.scenario.has_pipelining_client {
                 let (clients, number) = (clients.clone(), proxy as u64);
                 self.spawn(move || clients.run_pipelining_client(number, proxy));
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -53,6 +53,8 @@
 pub const KEY_WINDOW: Micros = 2 * SECOND;
 /// A process that got SIGTERM is killed this long after its longest deadline, of which at most 3 s count.
 const KILL_MARGIN: Micros = 700 * MS;
+/// The replication lag of a replica that keeps up.
+pub const LEAST_LAG: Micros = 5 * MS;
 /// Allowance of time limits for the delay of sockets.
 pub const SOCKET_SLACK: Micros = 50 * MS;
 
@@ -76,6 +78,8 @@
     ChangePrimary { group: usize },
     /// Changes the replication lag of a group's members.
     Lag { group: usize, lag: Micros },
+    /// Changes the replication lag of one member.
+    MemberLag { member: usize, lag: Micros },
     /// Moves a proxy's discovery to another address with a new configuration and SIGHUP.
     Reload { proxy: usize },
     /// Ends a process with SIGTERM. After [`Scenario::kill_after`], kills it if it still runs, and starts it
@@ -93,6 +97,8 @@
     PlantSwallowedChanges,
     /// Planted: a member answers with values of other requests.
     PlantMixedValues,
+    /// Planted: the replicas fall behind, and report positions as if they had not.
+    PlantHiddenLag,
     /// Planted: a process is paused with SIGSTOP for several seconds.
     PlantLongStop,
     /// Planted: a process gets SIGABRT.
@@ -101,6 +107,8 @@
 
 /// The stream of the draws of floods.
 const FLOOD_STREAM: u64 = 2;
+/// The stream of the draws of members that fall behind.
+const LAG_STREAM: u64 = 3;
 /// The length of a flood.
 const FLOOD_TIME: Micros = 5 * SECOND;
 
@@ -163,6 +171,7 @@
         scenario.clients = scenario.clients.min(MAX_CLIENTS / scenario.proxies);
         scenario.draw_actions(&mut draws);
         scenario.draw_flood(&mut Draws::new(seed, FLOOD_STREAM));
+        scenario.draw_member_lag(&mut Draws::new(seed, LAG_STREAM));
         scenario
     }
 
@@ -219,6 +228,25 @@
         self.actions.sort_by_key(|(at, _)| *at);
     }
 
+    /// Draws phases in which one replica of a group falls behind and then catches up, for most runs.
+    fn draw_member_lag(&mut self, draws: &mut Draws) {
+        if draws.once_in(4) {
+            return;
+        }
+        let mut at = draws.between(SECOND, 3 * SECOND);
+        while at < self.duration {
+            let member = draws.below(self.members() as u64) as usize;
+            let until = at + draws.between(SECOND, 4 * SECOND);
+            let lag = draws.between(200, 5000) * MS;
+            self.actions.push((at, Action::MemberLag { member, lag }));
+            self.actions.push((until, Action::MemberLag { member, lag: LEAST_LAG }));
+            at = until + draws.below(2 * SECOND);
+        }
+        let end = self.duration;
+        self.actions.retain(|(at, _)| *at < end);
+        self.actions.sort_by_key(|(at, _)| *at);
+    }
+
     fn draw_proxy(&self, draws: &mut Draws) -> usize {
         draws.below(self.proxies as u64) as usize
     }
--- a/soak/src/wire.rs
+++ b/soak/src/wire.rs
@@ -86,6 +86,20 @@
     }
 }
 
+/// Splits a zero-terminated string off.
+pub fn split_c_string(bytes: &[u8]) -> (String, &[u8]) {
+    let length = bytes.iter().position(|byte| *byte == 0).unwrap_or(bytes.len());
+    let rest = bytes.get(length + 1..).unwrap_or_default();
+    (String::from_utf8_lossy(&bytes[..length]).into_owned(), rest)
+}
+
+/// Appends a member's parameters: its role, and its position as a Unix time in milliseconds.
+pub fn append_parameters(bytes: &mut Vec<u8>, primary: bool, position_ms: u64) {
+    let recovery = if primary { "off" } else { "on" };
+    bytes.extend(message(b'S', format!("recovery\0{recovery}\0").as_bytes()));
+    bytes.extend(message(b'S', format!("lsn_ms\0{position_ms}\0").as_bytes()));
+}
+
 /// A member's reply to a simple query.
 pub struct MemberReply<'a> {
     /// The value, or the SQLSTATE of an error.
@@ -112,9 +126,7 @@
                 bytes.extend(message(b'E', format!("SERROR\0C{code}\0Memulated\0\0").as_bytes()));
             }
         }
-        let recovery = if self.primary { "off" } else { "on" };
-        bytes.extend(message(b'S', format!("recovery\0{recovery}\0").as_bytes()));
-        bytes.extend(message(b'S', format!("lsn_ms\0{}\0", self.position_ms).as_bytes()));
+        append_parameters(&mut bytes, self.primary, self.position_ms);
         bytes.extend(message(b'Z', b"I"));
         stream.write_all(&bytes)
     }
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -1,9 +1,11 @@
 //! Tests of the checker on hand-written records: for each rule, a record within its limit and one beyond it.
 
+use liftrelay_soak::batch_client::{BatchAnswer, BatchEnd, BatchRecord, BatchStatement};
 use liftrelay_soak::checker::check;
 use liftrelay_soak::history::{
     AttemptEnd, AttemptRecord, History, ListChange, MS, Micros, Notice, RequestEnd, RequestRecord, SECOND,
 };
+use liftrelay_soak::member::MemberRole;
 use liftrelay_soak::scenario::Scenario;
 
 const WRITE: usize = 2;
@@ -137,6 +139,38 @@
     }
 }
 
+#[test]
+fn each_answer_of_a_batch_must_be_as_new_as_its_statement_needs() {
+    use MemberRole::{FormerPrimary, Primary, Replica};
+    let (own, recent) = (0, RECENT);
+    let commit = SECOND;
+    let cases = [
+        ("fresh enough", recent, 440 * MS, Replica, "t", vec![]),
+        ("stale", recent, 500 * MS, Replica, "t", vec!["stale"]),
+        ("a former primary", recent, 500 * MS, FormerPrimary, "t", vec![]),
+        ("with the commit", own, 1000 * MS, Replica, "t", vec![]),
+        ("without the commit", own, 1050 * MS, Replica, "t", vec!["stale"]),
+        ("the primary", own, 1050 * MS, Primary, "t", vec![]),
+        ("the answer to another statement", recent, 0, Replica, "u", vec!["value"]),
+    ];
+    for (name, class, age, role, tag, expected) in cases {
+        let at = commit + 1000 * MS;
+        let answer = BatchAnswer { tag: tag.into(), member: 0, at, position: at - age, role };
+        let any = BatchAnswer { tag: "any".into(), role: Replica, position: 0, ..answer.clone() };
+        let statements = vec![BatchStatement::new(class, "t", commit), BatchStatement::new(1, "any", commit)];
+        let end = BatchEnd::Served(vec![answer, any]);
+        let history = History::default();
+        history.batches.lock().unwrap().push(BatchRecord {
+            proxy: 0,
+            statements,
+            sent_at: at,
+            ended_at: at,
+            end,
+        });
+        assert_eq!(violated_rules_in(&history, &[], &[]), expected, "{name}");
+    }
+}
+
 #[test]
 fn slow_start_limits_the_attempts_in_a_window() {
     for (count, expected) in [(150, vec![]), (340, vec!["slow start"])] {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,8 @@
 /// Plays a run of 5 s with this fault planted at 2 s and a drain at 3 s. Returns the rules that it violates.
 fn violated_rules(seed: u64, planted: Option<Action>) -> Vec<&'static str> {
     let mut scenario = Scenario { duration: 5 * SECOND, ..Scenario::draw(seed) };
+    // Members that check positions serve nothing stale, whatever they report.
+    scenario.rejects_stale &= !matches!(planted, Some(Action::PlantHiddenLag));
     scenario.actions = planted.map(|action| (2 * SECOND, action)).into_iter().collect();
     scenario.actions.push((3 * SECOND, Action::Drain { member: 1 }));
     let folder = std::env::temp_dir().join(format!("liftrelay-planted-{}-{seed}", std::process::id()));
@@ -38,6 +40,7 @@
         (Some(Action::PlantMixedValues), vec!["value"]),
         (Some(Action::PlantLongStop), vec!["lost"]),
         (Some(Action::PlantCrash), vec!["process"]),
+        (Some(Action::PlantHiddenLag), vec!["stale"]),
     ];
     let runs = cases.map(|(planted, expected)| {
         let seed = seeds.next().unwrap();
