A failed Parse of the unnamed statement ends the former one

Cause: undo_parses gave each name of a failed batch its previous statement back. PostgreSQL ends the unnamed statement when a Parse of it begins; only a Parse that is skipped, behind an error, leaves it. Parses that the proxy rejects were not recorded at all, and of two failed batches in a pipeline the second brought back the first's statement. Change: StatementTable keeps what each name stood for until the batches that change it have ended; the reply tells which message has failed, so that each change is done, failed or skipped. Simple queries end the unnamed statement.

--- a/src/front/postgres/batch_planner.rs
+++ b/src/front/postgres/batch_planner.rs
@@ -4,8 +4,9 @@
 use super::bind::parse_parameters;
 use super::error::BatchError;
 use super::execution::{Execution, Executions};
-use super::session::{ParsedStatement, Portal, Session};
+use super::session::{Portal, Session};
 use super::statement_recorder::StatementRecorder;
+use super::statement_table::StatementChange;
 use crate::extended::ExtendedMessage;
 use crate::pg::message_tags::{describe_targets, frontend};
 use crate::pg::{self, statement};
@@ -27,8 +28,8 @@
     pub messages: Vec<ExtendedMessage>,
     /// The statements that the messages prepare, bind or describe.
     pub statements: Vec<AnalyzedStatement>,
-    /// The statements that the batch prepares.
-    pub parsed: Vec<ParsedStatement>,
+    /// The changes that the batch makes to the session's statements.
+    pub changes: Vec<StatementChange>,
     /// What the messages execute.
     pub executions: Executions,
 }
@@ -43,20 +44,24 @@
     pub session: &'a mut Session,
     /// The plan for the messages that have been added.
     pub plan: BatchPlan,
+    /// The number of the client's messages that have been added.
+    pub added: usize,
 }
 
 impl BatchPlanner<'_> {
     /// Adds the next message of the batch to the plan, and updates the session's statements and portals.
     pub fn add_message(&mut self, message: &[u8]) -> Result<(), BatchError> {
         let body = pg::message_body(message);
-        match message.first() {
+        let result = match message.first() {
             Some(&frontend::PARSE) => self.add_parse(body),
             Some(&frontend::BIND) => self.add_bind(body),
             Some(&frontend::EXECUTE) => self.add_execute(body),
             Some(&frontend::DESCRIBE) => self.add_describe(body),
             Some(&frontend::CLOSE) => self.add_close(body),
             _ => Err(BatchError::MalformedMessage),
-        }
+        };
+        self.added += 1;
+        result
     }
 
     fn add_parse(&mut self, body: &[u8]) -> Result<(), BatchError> {
@@ -67,11 +72,11 @@
         }
         self.check_may_prepare(name, sql.len() + parameter_types.len())?;
         let statement = self.analyzer.analyze(sql, parameter_types)?;
-        let parsed = self.session.prepare(name, statement.clone())?;
+        let change = self.session.prepare(name, statement.clone(), self.added)?;
         self.recorder.record(&statement.prepared);
         self.plan.messages.push(ExtendedMessage::Parse(statement.prepared.clone()));
         self.plan.statements.push(statement);
-        self.plan.parsed.push(parsed);
+        self.plan.changes.push(change);
         Ok(())
     }
 
@@ -151,7 +156,7 @@
     fn add_close(&mut self, body: &[u8]) -> Result<(), BatchError> {
         let message = match parse_target(body)? {
             Target::Statement(name) => {
-                self.session.close_statement(name);
+                self.plan.changes.push(self.session.close_statement(name, self.added));
                 ExtendedMessage::CloseStatement
             }
             Target::Portal(name) => match self.session.close_portal(name) {
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -17,6 +17,7 @@
 mod reply_summary;
 mod session;
 mod statement_recorder;
+mod statement_table;
 
 pub use config::{ExtendedListenerConfig, UnknownClassError};
 pub use session::Session;
@@ -28,7 +29,7 @@
 use crate::exchange::{MemberRequest, MemberResponse};
 use crate::extended::ExtendedBatch;
 use crate::memory_budget::{HeldBytes, MemoryBudget};
-use crate::pg::message_tags::backend;
+use crate::pg::message_tags::{backend, frontend};
 use crate::pg::{self, statement};
 use crate::state::SessionCommits;
 use crate::store::Change;
@@ -39,8 +40,8 @@
 use error::BatchError;
 use execution::{Execution, Executions};
 use reply_summary::ReplySummary;
-use session::ParsedStatement;
 use statement_recorder::StatementRecorder;
+use statement_table::StatementChange;
 use std::sync::Arc;
 
 /// The length of a Query message with an empty text: type byte, length field and terminating zero.
@@ -48,8 +49,8 @@
 
 /// The context of a forwarded batch, which its reply depends on.
 pub struct BatchContext {
-    /// The statements that the batch prepares.
-    parsed: Vec<ParsedStatement>,
+    /// The changes that the batch makes to the session's statements.
+    changes: Vec<StatementChange>,
     /// The group of the batch.
     group: GroupId,
     /// The sessions that the batch may have written for if it was served.
@@ -108,6 +109,7 @@
         }
         match batch.messages.first() {
             Some(message) if batch.end == BatchEnd::Query => {
+                session.end_unnamed_statement();
                 // The layer in front of the proxies sends empty queries as health checks, to decide whether
                 // this proxy may get clients.
                 if service == ServiceState::OutOfService && message.len() == EMPTY_QUERY_BYTES {
@@ -148,7 +150,7 @@
         let follows_execution = session.executed_before_flush;
         session.end_transaction();
         let context = BatchContext {
-            parsed: Vec::new(),
+            changes: Vec::new(),
             group: request.group,
             written_sessions: executions.sessions_of(|execution| execution.may_write),
             end: BatchEnd::Query,
@@ -165,6 +167,7 @@
         let plan = self.plan_batch(session, batch)?;
         if plan.statements.is_empty() {
             // The batch is empty or consists of Close messages, which are answered without a member.
+            session.end_changes(&plan.changes, usize::MAX);
             let mut reply = Vec::new();
             plan.messages.iter().for_each(|_| pg::put_message(&mut reply, backend::CLOSE_COMPLETE, &[]));
             session.end_batch(batch.end, &mut reply);
@@ -172,7 +175,7 @@
         }
         let executes = !plan.executions.is_empty();
         if let Err(error) = check_flush(session, batch.end, executes) {
-            session.undo_parses(plan.parsed, 0);
+            session.end_changes(&plan.changes, 0);
             return Err(error);
         }
         let follows_execution = session.executed_before_flush;
@@ -188,7 +191,7 @@
         let mut request = match combined {
             Ok(request) => request,
             Err(error) => {
-                session.undo_parses(plan.parsed, 0);
+                session.end_changes(&plan.changes, 0);
                 return Err(error);
             }
         };
@@ -200,7 +203,7 @@
             session.end_transaction();
         }
         let context = BatchContext {
-            parsed: plan.parsed,
+            changes: plan.changes,
             group: request.group,
             written_sessions: plan.executions.sessions_of(|execution| execution.may_write),
             end: batch.end,
@@ -215,19 +218,25 @@
             recorder: &mut self.recorder,
             session,
             plan: BatchPlan::default(),
+            added: 0,
         };
         let result = batch.messages.iter().try_for_each(|message| planner.add_message(message));
         let plan = planner.plan;
         match result {
             Ok(()) => Ok(plan),
             Err(error) => {
-                session.undo_parses(plan.parsed, 0);
+                session.end_changes(&plan.changes, 0);
                 Err(error)
             }
         }
     }
 }
 
+/// Whether a message is a Parse of the unnamed statement.
+fn parses_unnamed(message: &[u8]) -> bool {
+    message.first() == Some(&frontend::PARSE) && pg::message_body(message).first() == Some(&0)
+}
+
 /// Checks that a batch may be forwarded although a Flush precedes it, or ends it.
 fn check_flush(session: &mut Session, end: BatchEnd, executes: bool) -> Result<(), BatchError> {
     if executes && session.executed_before_flush {
@@ -252,14 +261,14 @@
         batch.received_at
     }
 
-    /// A batch waits for unfinished batches that prepare a statement which it names, and for unfinished
+    /// A batch waits for unfinished batches that prepare or close a statement which it names, and for unfinished
     /// batches that ended with a Flush.
     fn must_wait(batch: &ClientBatch, unfinished: &[&BatchContext]) -> bool {
         let names = statement_names(batch);
-        let prepares_a_dependency = |context: &BatchContext| {
-            context.parsed.iter().any(|parsed| names.contains(&parsed.name.as_slice()))
+        let changes_a_dependency = |context: &BatchContext| {
+            context.changes.iter().any(|change| names.contains(&change.name.as_slice()))
         };
-        unfinished.iter().any(|context| context.end == BatchEnd::Flush || prepares_a_dependency(context))
+        unfinished.iter().any(|context| context.end == BatchEnd::Flush || changes_a_dependency(context))
     }
 
     fn refuse(batch: &mut ClientBatch, refusal: Refusal) {
@@ -280,6 +289,11 @@
             return CommandStep::Reply(reply);
         }
         self.start_batch(session, &batch, service).unwrap_or_else(|error| {
+            // The client takes the error for the answer to its first message. A batch that was refused as it
+            // was read has lost its messages; the first one may have been such a Parse.
+            if batch.messages.first().is_none_or(|message| parses_unnamed(message)) {
+                session.end_unnamed_statement();
+            }
             let error = if session.executed_before_flush { error.after_execution() } else { error };
             pg::put_error_response(&mut reply, "ERROR", error.sqlstate(), &error.to_string(), None);
             session.fail_batch(batch.end, &mut reply);
@@ -317,8 +331,8 @@
         };
         let mut reply = Vec::new();
         append_final_answer(&mut reply, &answer);
-        let ReplySummary { parse_completes, has_error } = ReplySummary::of(&reply);
-        session.undo_parses(context.parsed, if has_error { parse_completes } else { usize::MAX });
+        let ReplySummary { completed, has_error } = ReplySummary::of(&reply);
+        session.end_changes(&context.changes, if has_error { completed } else { usize::MAX });
         if context.end == BatchEnd::Flush && has_error {
             session.fail_batch(context.end, &mut reply);
         } else if context.end == BatchEnd::Flush {
@@ -337,4 +351,6 @@
 #[cfg(test)]
 mod session_commits_tests;
 #[cfg(test)]
+mod statement_changes_tests;
+#[cfg(test)]
 mod tests;
--- a/src/front/postgres/session.rs
+++ b/src/front/postgres/session.rs
@@ -1,8 +1,8 @@
 //! The state that a connection keeps from batch to batch: its prepared statements and portals.
 
 use super::analysis::AnalyzedStatement;
+use super::statement_table::{ChangeEnd, StatementChange, StatementTable};
 use crate::client::BatchEnd;
-use crate::extended::PreparedStatement;
 use crate::memory_budget::{HeldBytes, OverBudget};
 use crate::pg;
 use std::collections::BTreeMap;
@@ -11,8 +11,6 @@
 /// The most bytes that the statements and portals of one client may take, even if the budget of all clients
 /// has room for more.
 const MAX_BYTES_PER_CLIENT: usize = 256 * 1024;
-/// What a prepared statement takes in memory besides its name, its text and its parameter types.
-const STATEMENT_OVERHEAD_BYTES: usize = 384;
 /// What a portal takes in memory besides its name and its arguments.
 const PORTAL_OVERHEAD_BYTES: usize = 256;
 
@@ -29,22 +27,10 @@
     pub flushed: bool,
 }
 
-/// A statement that a batch prepares.
-pub struct ParsedStatement {
-    /// The name that the client gave the statement.
-    pub name: Vec<u8>,
-    /// The statement.
-    pub prepared: Arc<PreparedStatement>,
-    /// The statement that had this name before, if any.
-    pub previous: Option<AnalyzedStatement>,
-}
-
 /// The state that a connection keeps from batch to batch.
 pub struct Session {
-    /// The prepared statements, by name.
-    statements: BTreeMap<Vec<u8>, AnalyzedStatement>,
-    /// The bytes that the prepared statements take.
-    statement_bytes: usize,
+    /// The prepared statements.
+    statements: StatementTable,
     /// The portals of the current implicit transaction, by name.
     portals: BTreeMap<Vec<u8>, Portal>,
     /// The bytes that the portals take which outlive the batch that has bound them.
@@ -61,8 +47,7 @@
     /// Creates the state of a new connection, whose bytes are counted in `held`.
     pub fn new(held: HeldBytes) -> Session {
         Session {
-            statements: BTreeMap::new(),
-            statement_bytes: 0,
+            statements: StatementTable::default(),
             portals: BTreeMap::new(),
             kept_portal_bytes: 0,
             held,
@@ -78,35 +63,44 @@
 
     /// The number of prepared statements.
     pub fn statement_count(&self) -> usize {
-        self.statements.len()
+        self.statements.count()
     }
 
     /// The length of the texts and parameter types of all prepared statements together.
     pub fn statement_text_bytes(&self) -> usize {
-        self.statements.values().map(|statement| statement.prepared.bytes()).sum()
+        self.statements.text_bytes()
     }
 
-    /// Stores a prepared statement under a name. The result is for [`Session::undo_parses`]. Fails, without a
+    /// Stores a prepared statement under a name, by the message with this index in its batch. Fails, without a
     /// change, if the client's memory does not suffice.
     pub fn prepare(
         &mut self,
         name: &[u8],
         statement: AnalyzedStatement,
-    ) -> Result<ParsedStatement, OverBudget> {
-        let replaced_bytes = self.statements.get(name).map_or(0, |replaced| statement_size(name, replaced));
-        let statement_bytes = self.statement_bytes - replaced_bytes + statement_size(name, &statement);
-        self.try_hold(statement_bytes, self.kept_portal_bytes)?;
-        let prepared = statement.prepared.clone();
-        let previous = self.statements.insert(name.to_vec(), statement);
-        Ok(ParsedStatement { name: name.to_vec(), prepared, previous })
-    }
-
-    /// Removes a prepared statement.
-    pub fn close_statement(&mut self, name: &[u8]) {
-        if let Some(statement) = self.statements.remove(name) {
-            self.statement_bytes -= statement_size(name, &statement);
-            self.update_held();
+        message: usize,
+    ) -> Result<StatementChange, OverBudget> {
+        self.try_hold(self.statements.bytes_with(name, &statement), self.kept_portal_bytes)?;
+        Ok(self.statements.change(name, Some(statement), message))
+    }
+
+    /// Removes a prepared statement, by the message with this index in its batch.
+    pub fn close_statement(&mut self, name: &[u8], message: usize) -> StatementChange {
+        self.statements.change(name, None, message)
+    }
+
+    /// Ends the changes of a batch whose first `completed` messages were carried out, and whose next one was
+    /// answered with an error if there is one.
+    pub fn end_changes(&mut self, changes: &[StatementChange], completed: usize) {
+        for change in changes {
+            self.statements.end(change, ChangeEnd::of_message(change.message, completed));
         }
+        self.update_held();
+    }
+
+    /// Ends the unnamed statement.
+    pub fn end_unnamed_statement(&mut self) {
+        self.statements.end_unnamed();
+        self.update_held();
     }
 
     /// Stores a portal under a name. Its bytes count only if it outlives its batch.
@@ -130,7 +124,7 @@
     /// Without this, a client that sends no Sync could fill the memory of the process with portals.
     pub fn keep_portals(&mut self) -> Result<(), OverBudget> {
         let portal_bytes = self.portals.iter().map(|(name, portal)| portal_size(name, portal)).sum();
-        self.try_hold(self.statement_bytes, portal_bytes)
+        self.try_hold(self.statements.bytes(), portal_bytes)
     }
 
     /// Clears the state that ends with an implicit transaction, at a Sync or a simple query. A forwarded
@@ -164,24 +158,6 @@
         }
     }
 
-    /// Undoes the Parse messages of a batch after the first `confirmed` ones: each name gets its previous
-    /// statement back, or is removed if it had none. A name under which another statement has been prepared
-    /// since is left unchanged.
-    pub fn undo_parses(&mut self, parsed: Vec<ParsedStatement>, confirmed: usize) {
-        for ParsedStatement { name, prepared, previous } in parsed.into_iter().skip(confirmed).rev() {
-            let Some(current) = self.statements.get(&name) else { continue };
-            if !Arc::ptr_eq(&current.prepared, &prepared) {
-                continue;
-            }
-            self.close_statement(&name);
-            if let Some(statement) = previous {
-                self.statement_bytes += statement_size(&name, &statement);
-                self.statements.insert(name, statement);
-                self.update_held();
-            }
-        }
-    }
-
     fn drop_portals(&mut self) {
         self.portals.clear();
         self.kept_portal_bytes = 0;
@@ -194,20 +170,15 @@
             return Err(OverBudget);
         }
         self.held.try_set(bytes)?;
-        self.statement_bytes = statement_bytes;
         self.kept_portal_bytes = kept_portal_bytes;
         Ok(())
     }
 
     fn update_held(&mut self) {
-        self.held.set(self.statement_bytes + self.kept_portal_bytes);
+        self.held.set(self.statements.bytes() + self.kept_portal_bytes);
     }
 }
 
-fn statement_size(name: &[u8], statement: &AnalyzedStatement) -> usize {
-    name.len() + statement.prepared.bytes() + STATEMENT_OVERHEAD_BYTES
-}
-
 fn portal_size(name: &[u8], portal: &Portal) -> usize {
     name.len() + portal.arguments.len() + PORTAL_OVERHEAD_BYTES
 }
--- a/tests/proxy/extended.rs
+++ b/tests/proxy/extended.rs
@@ -304,3 +304,23 @@
     assert_eq!(client.read_reply(), "E(54000) Z");
     assert_eq!(run_batch(&mut client, &format!("{READ} | B - r | E - | S")), "1 2 D(value) C Z");
 }
+
+/// Guards against the execution of a statement that no client sent: a Bind behind a Parse of the unnamed statement that
+/// a member or the proxy has refused would take the statement before it.
+#[test]
+fn bind_behind_a_refused_parse_executes_no_earlier_statement() {
+    for refused in ["P - SELECT 1 /* c=any,d=400 */", "P - SET x = 1", "P - SELECT 1 /* c=none,d=900 */"] {
+        let (primary, replica, proxy) = start_pair();
+        let mut client = proxy.connect_extended();
+        let first = "P - SELECT payload FROM entries WHERE ref = $1 /* c=any,d=900 */ | B - - | E - | S";
+        assert_eq!(run_batch(&mut client, first), "1 2 D(value) C Z");
+        [&primary, &replica]
+            .iter()
+            .for_each(|member| member.replace_plan(&[MemberBehavior::ResetOn(b'P'); 16]));
+        let reply = run_batch(&mut client, &format!("{refused} | S"));
+        assert!(reply.starts_with("E("), "{refused}: {reply}");
+        [&primary, &replica].iter().for_each(|member| member.replace_plan(&[]));
+        assert_eq!(run_batch(&mut client, "B - - | E - | S"), "E(26000) Z", "{refused}");
+        assert_eq!(primary.executed_count() + replica.executed_count(), 1, "{refused}");
+    }
+}
