A write of a keyed class without a key is not sent again once it may have run

Cause: the class alone decided whether a repeat is safe; k was not even read. Members recognize a repeat by the key of the request, and a prepared text can't name one for each execution. Change: the key is a property of each executed statement: k in the comment on both listeners, or the parameter key_parameter of the extended listener. Without one, a statement of a keyed class may run once, for the router, the reducer and the memory of ids. check-config names a keyed write_class without a key parameter.

--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -5,7 +5,7 @@
 use crate::exchange::MemberRequest;
 use crate::pg::sqlstate;
 use crate::pg::statement::{self, StatementError, StatementFields, Timeout};
-use crate::{ExecutedStatement, Idempotency, Micros, Requirement, Settings};
+use crate::{Class, ExecutedStatement, Idempotency, Micros, Requirement, Settings};
 use std::ops::Range;
 
 /// The greatest length of the `id` in a comment.
@@ -91,15 +91,13 @@
         if statement::first_keyword(text) != keyword {
             return Err(InvalidQuery::WrongKeyword);
         }
-        let at_most_once = settings.classes[class].idempotency == Idempotency::AtMostOnce;
-        Self::from_fields(fields, class, writes, at_most_once)
+        Self::from_fields(fields, class, &settings.classes[class])
     }
 
     fn from_fields(
         fields: StatementFields<'_>,
         class: usize,
-        writes: bool,
-        at_most_once: bool,
+        properties: &Class,
     ) -> Result<ParsedQuery, InvalidQuery> {
         let external_id = fields.id.filter(|id| !id.is_empty() && id.len() <= MAX_EXTERNAL_ID_BYTES);
         let Timeout { millis, digits } = fields.timeout.ok_or(InvalidQuery::MissingTimeout)?;
@@ -109,14 +107,16 @@
         let group = fields.group.ok_or(InvalidQuery::MissingGroup)?;
         let session = fields.key.map(statement::session_id).ok_or(InvalidQuery::MissingKey)?;
         let min_position = fields.min_position_ms.map(from_unix_ms);
-        let executed = ExecutedStatement { min_position, ..ExecutedStatement::new(class, session) };
+        let writes = properties.requirement == Requirement::Write;
+        let has_key = fields.has_idempotency_key;
+        let executed = ExecutedStatement { min_position, has_key, ..ExecutedStatement::new(class, session) };
         let request = ParsedRequest {
             class,
             statements: vec![executed],
             writes,
             written_sessions: if writes { vec![session] } else { Vec::new() },
             group,
-            at_most_once,
+            at_most_once: executed.idempotency(properties) == Idempotency::AtMostOnce,
             is_retry: fields.is_retry,
             external_id: external_id.ok_or(InvalidQuery::MissingExternalId)?.to_vec(),
             timeout: from_unix_ms(millis),
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -71,7 +71,7 @@
 }
 
 fn receive_request(core: &mut TestCore, now: Micros, id: RequestId, class: usize) -> Effects {
-    let request = Request::executing(ExecutedStatement::new(class, 0));
+    let request = Request::executing(ExecutedStatement { has_key: true, ..ExecutedStatement::new(class, 0) });
     let request = Request { id, group: 1, remaining: 1900 * MS, ..request };
     core.step(now, Input::RequestReceived(NewRequest { request, work: Arc::new(()) }))
 }
@@ -219,7 +219,7 @@
         let mut core = core(true);
         let read = Request::executing(ExecutedStatement::new(BOUNDED_READ, 0));
         let mut request = Request { id: 1, group: 1, remaining: 1900 * MS, ..read };
-        request.statements.push(ExecutedStatement::new(other, 0));
+        request.statements.push(ExecutedStatement { has_key: true, ..ExecutedStatement::new(other, 0) });
         let received = Input::RequestReceived(NewRequest { request, work: Arc::new(()) });
         let first = StartedAttempt::only_one_in(&core.step(START, received));
         let effects = core.step(START + 100 * MS, first.finished(Outcome::Error, Role::Primary, START));
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -36,6 +36,8 @@
     pub is_retry: bool,
     /// The session that the statement's key identifies, 0 for none.
     pub session_key: u64,
+    /// Whether the text has an idempotency key, which is the same for every execution.
+    pub has_idempotency_key: bool,
 }
 
 /// The statements of a batch, which [`StatementAnalyzer::combine`] combines into one request.
@@ -99,6 +101,7 @@
             may_write: writes || self.is_write_class(class),
             is_retry: fields.is_retry,
             session_key: fields.key.map_or(0, statement::session_id),
+            has_idempotency_key: fields.has_idempotency_key,
         })
     }
 
@@ -162,9 +165,10 @@
                 executions.iter().filter(of_class).filter_map(|execution| execution.required_position).max();
             // A client that names the last commit of its session knows of it, whatever this process knows.
             let are_named = executions.iter().filter(of_class).all(|one| one.required_position.is_some());
+            let has_key = executions.iter().filter(of_class).all(|execution| execution.has_key);
             for session in executions.sessions_of(|execution| execution.class == class) {
                 let mut statement =
-                    ExecutedStatement { min_position, ..ExecutedStatement::new(class, session) };
+                    ExecutedStatement { min_position, has_key, ..ExecutedStatement::new(class, session) };
                 if !are_named {
                     self.add_commits(&mut statement, batch, group);
                 }
--- a/src/front/postgres/batch_needs_tests/play.rs
+++ b/src/front/postgres/batch_needs_tests/play.rs
@@ -121,6 +121,7 @@
             group: 0,
             wait_ms: 1000,
             session_parameter: 1,
+            key_parameter: 0,
             statements: 256,
         };
         let limits = PostgresLimits {
@@ -556,7 +557,11 @@
         let position = commit.unwrap_or(earlier);
         let highest_position = position.max(any_commit.unwrap_or(0));
         let position = if is_known { position } else { 0 };
-        let class = self.settings.classes[class].clone();
+        let is_keyed = has_key(class);
+        let mut class = self.settings.classes[class].clone();
+        if matches!(class.idempotency, Idempotency::Keyed { .. }) && !is_keyed {
+            class.idempotency = Idempotency::AtMostOnce;
+        }
         let reads_own = class.requirement == Requirement::ReadYourWrites;
         Executed { class, position, highest_position: if reads_own { highest_position } else { 0 } }
     }
@@ -567,7 +572,9 @@
             Requirement::Write => "insert into t values ($1)",
             _ => "select 1 from t where ref = $1",
         };
-        message(frontend::PARSE, format!("{name}\0{verb} /* c={name},d={timeout} */\0\0\0").as_bytes())
+        let key = if has_key(class) { ",k=1" } else { "" };
+        let text = format!("{name}\0{verb} /* c={name},d={timeout}{key} */\0\0\0");
+        message(frontend::PARSE, text.as_bytes())
     }
 }
 
@@ -587,6 +594,11 @@
     format!("{UNKNOWN_SESSION}{client}")
 }
 
+/// Whether statements of the class name an idempotency key.
+fn has_key(class: usize) -> bool {
+    class.is_multiple_of(2)
+}
+
 fn timeout_ms(class: usize) -> u64 {
     400 + 150 * class as u64
 }
--- a/src/front/postgres/batch_planner.rs
+++ b/src/front/postgres/batch_planner.rs
@@ -99,12 +99,15 @@
         let (name, arguments) = pg::split_c_string(rest).ok_or(BatchError::MalformedMessage)?;
         let parameters = parse_parameters(arguments).ok_or(BatchError::MalformedMessage)?;
         let statement = self.statement(name)?;
-        let session_key =
-            self.session_parameter(&parameters).map_or(statement.session_key, statement::session_id);
+        let config = &self.analyzer.config;
+        let session_key = parameter(&parameters, config.session_parameter)
+            .map_or(statement.session_key, statement::session_id);
+        let has_key = parameter(&parameters, config.key_parameter).is_some_and(|key| !key.is_empty());
         let arguments: Arc<[u8]> = arguments.into();
         let bound = Portal {
             statement: statement.clone(),
             session_key,
+            has_key,
             arguments: arguments.clone(),
             flushed: false,
         };
@@ -119,12 +122,6 @@
         Ok(())
     }
 
-    /// The value of the parameter that names the session, if there is one.
-    fn session_parameter<'p>(&self, parameters: &[Option<&'p [u8]>]) -> Option<&'p [u8]> {
-        let index = self.analyzer.config.session_parameter.checked_sub(1)?;
-        parameters.get(index).copied().flatten()
-    }
-
     fn add_execute(&mut self, body: &[u8]) -> Result<(), BatchError> {
         let (portal, row_limit) = pg::split_c_string(body).ok_or(BatchError::MalformedMessage)?;
         if row_limit.len() != ROW_LIMIT_BYTES {
@@ -189,10 +186,15 @@
             });
             self.plan.statements.push(portal.statement.clone());
         }
-        Ok(Execution::new(&portal.statement, portal.session_key))
+        Ok(Execution::new(&portal.statement, portal.session_key, portal.has_key))
     }
 }
 
+/// The value of a parameter, counted from 1; `None` for parameter 0, for a NULL, and for one that is missing.
+fn parameter<'p>(parameters: &[Option<&'p [u8]>], number: usize) -> Option<&'p [u8]> {
+    parameters.get(number.checked_sub(1)?).copied().flatten()
+}
+
 /// The target of a Describe or a Close.
 enum Target<'a> {
     Statement(&'a [u8]),
--- a/src/front/postgres/config.rs
+++ b/src/front/postgres/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of the extended listener.
 
-use crate::Settings;
+use crate::{Idempotency, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -20,6 +20,10 @@
     pub wait_ms: u64,
     /// The number of the statement parameter that identifies the session, counted from 1; 0 for none.
     pub session_parameter: usize,
+    /// The number of the statement parameter that is the idempotency key of an execution, counted from 1; 0 for
+    /// none. The members must recognize repeats by this parameter.
+    #[serde(default)]
+    pub key_parameter: usize,
     /// The maximum number of prepared statements of one client.
     pub statements: usize,
 }
@@ -42,4 +46,18 @@
         }
         Ok(())
     }
+
+    /// A note for the operator if writes that name no class are of one whose repeats a key makes safe, and no
+    /// parameter is the key: they are then never sent again once they may have run.
+    pub fn note_on_keys(&self, settings: &Settings) -> Option<String> {
+        let class = &settings.classes[settings.class(self.write_class.as_bytes())?];
+        let is_keyed = matches!(class.idempotency, Idempotency::Keyed { .. });
+        (is_keyed && self.key_parameter == 0).then(|| {
+            format!(
+                "class {}: writes of the extended listener that name no key (k) run at most once, as \
+                 key_parameter is 0",
+                self.write_class
+            )
+        })
+    }
 }
--- a/src/front/postgres/execution.rs
+++ b/src/front/postgres/execution.rs
@@ -15,6 +15,8 @@
     pub required_position: Option<Micros>,
     /// Whether the client marked the statement as a retry.
     pub is_retry: bool,
+    /// Whether the execution has an idempotency key.
+    pub has_key: bool,
     /// Whether the execution may write.
     pub may_write: bool,
     /// The session that a parameter or else the statement identifies, 0 for none.
@@ -22,13 +24,14 @@
 }
 
 impl Execution {
-    /// The execution of a statement for a session.
-    pub fn new(statement: &AnalyzedStatement, session: u64) -> Self {
+    /// The execution of a statement for a session. `has_key` says whether a parameter is an idempotency key.
+    pub fn new(statement: &AnalyzedStatement, session: u64, has_key: bool) -> Self {
         Execution {
             class: statement.class,
             timeout: statement.timeout,
             required_position: statement.required_position,
             is_retry: statement.is_retry,
+            has_key: has_key || statement.has_idempotency_key,
             may_write: statement.may_write,
             session,
         }
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -135,7 +135,7 @@
             return Ok(CommandStep::Reply(reply));
         }
         let statement = self.analyzer.analyze(text, &[])?;
-        let executions = Executions::from_iter([Execution::new(&statement, statement.session_key)]);
+        let executions = Executions::from_iter([Execution::new(&statement, statement.session_key, false)]);
         let statements = BatchStatements {
             statements: &[statement],
             executions: &executions,
--- a/src/front/postgres/session.rs
+++ b/src/front/postgres/session.rs
@@ -21,6 +21,8 @@
     pub statement: AnalyzedStatement,
     /// The session that a parameter or else the statement identifies, 0 for none.
     pub session_key: u64,
+    /// Whether a parameter is an idempotency key.
+    pub has_key: bool,
     /// The part of the Bind message after the names: formats and parameter values, as received.
     pub arguments: Arc<[u8]>,
     /// Whether a Flush has ended the portal at the member since it was last bound there.
--- a/src/front/postgres/session_commits_tests.rs
+++ b/src/front/postgres/session_commits_tests.rs
@@ -189,6 +189,7 @@
         group: 0,
         wait_ms: 1000,
         session_parameter: 1,
+        key_parameter: 0,
         statements: 8,
     }
 }
--- a/src/front/postgres/tests.rs
+++ b/src/front/postgres/tests.rs
@@ -77,6 +77,17 @@
     assert_eq!(text(&session), None);
 }
 
+/// Guards against operators who take writes without a key for writes that are sent again.
+#[test]
+fn a_keyed_write_class_without_a_key_parameter_is_noted() {
+    let (config, settings) = listener();
+    assert_eq!(config.note_on_keys(&settings), None);
+    let mut settings = Settings::clone(&settings);
+    settings.classes[0].idempotency = crate::Idempotency::Keyed { across_groups: true, window: 1 };
+    assert!(config.note_on_keys(&settings).unwrap().starts_with("class read: "));
+    assert_eq!(ExtendedListenerConfig { key_parameter: 2, ..config }.note_on_keys(&settings), None);
+}
+
 /// Guards against "nothing has run" from the proxy itself, for want of memory or of time, behind a part
 /// that has run.
 #[test]
@@ -122,6 +133,7 @@
         group: 1,
         wait_ms: 100,
         session_parameter: 0,
+        key_parameter: 0,
         statements: 8,
     };
     (config, Arc::new(settings))
--- a/src/main.rs
+++ b/src/main.rs
@@ -77,7 +77,10 @@
     match command {
         Command::Version(_) => println!("liftrelay {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig(check) => {
-            Deployment::load(check.postgres, check.store, check.syslog)?;
+            let deployment = Deployment::load(check.postgres, check.store, check.syslog)?;
+            let settings = &deployment.config.settings;
+            let note = deployment.postgres.as_ref().and_then(|postgres| postgres.note_on_keys(settings));
+            note.iter().for_each(|note| println!("{note}"));
             println!("the configuration can be used");
         }
         Command::Serve(serve) => {
--- a/src/model/needs.rs
+++ b/src/model/needs.rs
@@ -1,6 +1,6 @@
 //! What a request needs of the endpoint that executes it, and which of these needs an endpoint does not meet.
 
-use crate::{Class, Idempotency, Micros, Requirement, Role};
+use crate::{Class, ExecutedStatement, Idempotency, Micros, Requirement, Role};
 
 /// What a request needs. All fields hold at the same time, and for every attempt of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,8 +35,9 @@
 }
 
 impl Needs {
-    /// The needs of a statement of this class. `position` is the position that it must see; 0 for none.
-    pub(crate) fn new(class: &Class, position: Micros) -> Self {
+    /// The needs of a statement, which is of this class. `position` is the position that it must see; 0 for none.
+    pub(crate) fn new(statement: &ExecutedStatement, class: &Class, position: Micros) -> Self {
+        let idempotency = statement.idempotency(class);
         let staleness_bound = match class.requirement {
             Requirement::BoundedStaleness(bound) => Some(bound),
             _ => None,
@@ -46,8 +47,8 @@
             latest: class.requirement == Requirement::Latest,
             position,
             staleness_bound,
-            idempotency: class.idempotency,
-            is_keyed: matches!(class.idempotency, Idempotency::Keyed { .. }),
+            idempotency,
+            is_keyed: matches!(idempotency, Idempotency::Keyed { .. }),
         }
     }
 
--- a/src/model/request.rs
+++ b/src/model/request.rs
@@ -100,13 +100,24 @@
     pub commits_known_since: Option<Micros>,
     /// The position that the endpoint must have reached, if known.
     pub min_position: Option<Micros>,
+    /// Whether the statement carries an idempotency key. Without one, no endpoint recognizes a repeat, whatever
+    /// the class says.
+    pub has_key: bool,
 }
 
 impl ExecutedStatement {
-    /// A statement of this class and session, with nothing known of the session's commits.
+    /// A statement of this class and session, without a key and with nothing known of the session's commits.
     pub fn new(class: usize, session: u64) -> Self {
         ExecutedStatement { class, session, ..ExecutedStatement::default() }
     }
+
+    /// How often the statement, which is of this class, may be executed.
+    pub(crate) fn idempotency(&self, class: &Class) -> Idempotency {
+        match class.idempotency {
+            Idempotency::Keyed { .. } if !self.has_key => Idempotency::AtMostOnce,
+            idempotency => idempotency,
+        }
+    }
 }
 
 /// A client request.
--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -127,8 +127,9 @@
     /// class under which the request is accounted, does not exist.
     pub(crate) fn idempotency_of(&self, request: &Request) -> Option<Idempotency> {
         self.classes.get(request.class)?;
-        let classes = request.statements.iter().map(|statement| self.classes.get(statement.class));
-        classes.into_iter().try_fold(Idempotency::Idempotent, |all, class| Some(all.and(class?.idempotency)))
+        request.statements.iter().try_fold(Idempotency::Idempotent, |all, statement| {
+            Some(all.and(statement.idempotency(self.classes.get(statement.class)?)))
+        })
     }
 
     /// Returns the index of the class with this name.
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -15,6 +15,7 @@
     pub const GROUP: &[u8] = b"cluster";
     pub const MIN_POSITION: &[u8] = b"after";
     pub const RETRY: &[u8] = b"r";
+    pub const IDEMPOTENCY_KEY: &[u8] = b"k";
 }
 
 /// The maximum length of the result of [`first_keyword`].
@@ -49,6 +50,8 @@
     pub is_retry: bool,
     /// `id`: the id that the client gave the request.
     pub id: Option<&'a [u8]>,
+    /// `k`: whether the statement has an idempotency key, by which members recognize a repeat.
+    pub has_idempotency_key: bool,
     /// The text of the first literal in single quotes, which identifies the session.
     pub key: Option<&'a [u8]>,
 }
@@ -118,6 +121,7 @@
             }
             field_names::MIN_POSITION => self.min_position_ms = parse_number(value),
             field_names::RETRY => self.is_retry = value == b"1",
+            field_names::IDEMPOTENCY_KEY => self.has_idempotency_key = !value.is_empty(),
             _ => {}
         }
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -71,7 +71,7 @@
         let arrival = Arrival { now: self.now, group_time, started_at: self.created_at };
         let needs = request.statements.iter().map(|statement| {
             let position = self.commits.required_position(statement, request.group, &self.settings, arrival);
-            Needs::new(&self.settings.classes[statement.class], position)
+            Needs::new(statement, &self.settings.classes[statement.class], position)
         });
         needs.fold(Needs::default(), Needs::and)
     }
--- a/src/sim_adapter/events.rs
+++ b/src/sim_adapter/events.rs
@@ -150,7 +150,9 @@
     let options = fields.u16()?;
     let time_since_write = (since_write_ms > 0.0).then_some((since_write_ms * 1000.0) as u64);
     let is_retry = options & RETRY_OPTION != 0;
-    let statement = ExecutedStatement { time_since_write, ..ExecutedStatement::new(class, session) };
+    // Every request of a keyed class has a key, which the simulator does not send.
+    let statement =
+        ExecutedStatement { time_since_write, has_key: true, ..ExecutedStatement::new(class, session) };
     Ok(Request { id, class, statements: vec![statement], group, tenant, remaining, is_retry })
 }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod extended;
 mod fault_injection;
+mod keys;
 mod memory_limits;
 mod operations;
 mod pipelining;
