--- a/src/front/connection_manager/tests.rs
+++ b/src/front/connection_manager/tests.rs
@@ -122,8 +122,8 @@
     assert!(replies[1].windows(5).any(|code| code == b"08007"), "the reply to the write is an error");
 }
 
-/// Guards against a read of several sessions that sees a later write of one of them, and against a read that lacks
-/// the commit of a write for several sessions.
+/// Guards against a read of several sessions that sees a later write of one of them, and against a read
+/// that lacks the commit of a write for several sessions.
 #[test]
 fn command_of_several_sessions_keeps_its_order_with_writes_of_each_of_them() {
     let mut harness = Harness::connected();
--- a/src/front/pipeline.rs
+++ b/src/front/pipeline.rs
@@ -211,9 +211,9 @@
         }
     }
 
-    /// The position that each statement of a deferred request must see: the latest commit among earlier writes
-    /// of this connection to the request's group that belong to the statement's session, or whose reply had
-    /// not been written when the request arrived. `None` if there is no such commit.
+    /// The position that each statement of a deferred request must see: the latest commit among earlier
+    /// writes of this connection to the request's group that belong to the statement's session, or whose
+    /// reply had not been written when the request arrived. `None` if there is no such commit.
     ///
     /// A client that has received the reply to a write can name the commit's position in a read. For a write
     /// that was unanswered when the client sent the read, it cannot.
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -121,8 +121,9 @@
     /// Combines the statements of a batch into one request. What the batch executes decides what the request
     /// needs; each execution keeps its own needs. The statements must be for the same group.
     ///
-    /// The request is accounted under the strictest class, and has the shortest timeout. A batch that executes
-    /// nothing needs nothing of its member, and has these from the statements that it prepares or describes.
+    /// The request is accounted under the strictest class, and has the shortest timeout. A batch that
+    /// executes nothing needs nothing of its member, and has these from the statements that it prepares
+    /// or describes.
     pub fn combine(
         &self,
         batch: &BatchStatements<'_>,
--- a/src/front/postgres/batch_needs_tests/mod.rs
+++ b/src/front/postgres/batch_needs_tests/mod.rs
@@ -1,5 +1,6 @@
-//! Generated batches, routed by the front and the router together and judged by a model of the pages: no attempt
-//! leaves the model's answer, and none is refused or sent to the primary while a replica is in it.
+//! Generated batches, routed by the front and the router together and judged by a model of the pages: no
+//! attempt leaves the model's answer, and none is refused or sent to the primary while a replica is in
+//! it.
 
 mod model;
 mod play;
@@ -11,8 +12,9 @@
 /// The number of seeds within which a planted fault is found.
 const PLANT_SEEDS: std::ops::Range<u64> = 1..61;
 
-/// Guards against a need of one statement that hides that of another: the bound of a read behind a read of own
-/// writes, a second bound, the present, the writes of a second session, a key, in any order and cut.
+/// Guards against a need of one statement that hides that of another: the bound of a read behind a read
+/// of own writes, a second bound, the present, the writes of a second session, a key, in any order and
+/// cut.
 #[test]
 fn every_need_of_every_executed_statement_holds_at_each_attempt() {
     let mut executed = 0;
--- a/src/front/postgres/batch_needs_tests/model.rs
+++ b/src/front/postgres/batch_needs_tests/model.rs
@@ -1,5 +1,5 @@
-//! A model of the pages: which members may answer one executed statement, and how often it may be executed. A batch
-//! may be answered from the intersection over its statements.
+//! A model of the pages: which members may answer one executed statement, and how often it may be
+//! executed. A batch may be answered from the intersection over its statements.
 
 use crate::{Class, Idempotency, Micros, Requirement, Role, Settings, process_pause_margin};
 
@@ -8,7 +8,8 @@
     pub class: Class,
     /// Of a read of own writes: the position that it must see.
     pub position: Micros,
-    /// The highest position that the proxy may demand, as it keeps few commits exactly; 0 for no read of own writes.
+    /// The highest position that the proxy may demand, as it keeps few commits exactly; 0 for no read of
+    /// own writes.
     pub highest_position: Micros,
 }
 
@@ -36,8 +37,8 @@
         }
     }
 
-    /// Whether an answer of the member is correct if the statement is sent to it at `at`. Members reject writes
-    /// that they can't take, and where they check positions, reads, too.
+    /// Whether an answer of the member is correct if the statement is sent to it at `at`. Members reject
+    /// writes that they can't take, and where they check positions, reads, too.
     pub fn may_be_answered_by(&self, member: &Member, at: Micros, settings: &Settings) -> bool {
         member.passes_for_primary
             || !settings.endpoints_serve_stale()
--- a/src/front/postgres/batch_needs_tests/play.rs
+++ b/src/front/postgres/batch_needs_tests/play.rs
@@ -23,7 +23,8 @@
 /// Room for the commits of all sessions, or for fewer than there are sessions.
 const COMMIT_BYTES: [usize; 2] = [1 << 16, 200];
 const UNKNOWN_SESSION: &str = "?";
-/// The longest wait that the router may allow a read with a need of freshness for its connection to the primary.
+/// The longest wait that the router may allow a read with a need of freshness for its connection to the
+/// primary.
 const PRIMARY_START_LIMIT: Micros = 100 * MS;
 
 /// A fault that is planted between the front and the router.
@@ -588,8 +589,8 @@
     message(frontend::BIND, &[names.as_bytes(), &values, &[0, 0]].concat())
 }
 
-/// The name of the sessions of a client's statements that identify none. A later statement without a session on the
-/// same connection may be on behalf of the same one.
+/// The name of the sessions of a client's statements that identify none. A later statement without a
+/// session on the same connection may be on behalf of the same one.
 fn unknown_session(client: ClientId) -> String {
     format!("{UNKNOWN_SESSION}{client}")
 }
--- a/src/front/postgres/config.rs
+++ b/src/front/postgres/config.rs
@@ -20,8 +20,8 @@
     pub wait_ms: u64,
     /// The number of the statement parameter that identifies the session, counted from 1; 0 for none.
     pub session_parameter: usize,
-    /// The number of the statement parameter that is the idempotency key of an execution, counted from 1; 0 for
-    /// none. The members must recognize repeats by this parameter.
+    /// The number of the statement parameter that is the idempotency key of an execution, counted from 1;
+    /// 0 for none. The members must recognize repeats by this parameter.
     #[serde(default)]
     pub key_parameter: usize,
     /// The maximum number of prepared statements of one client.
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -261,8 +261,8 @@
         batch.received_at
     }
 
-    /// A batch waits for unfinished batches that prepare or close a statement which it names, and for unfinished
-    /// batches that ended with a Flush.
+    /// A batch waits for unfinished batches that prepare or close a statement which it names, and for
+    /// unfinished batches that ended with a Flush.
     fn must_wait(batch: &ClientBatch, unfinished: &[&BatchContext]) -> bool {
         let names = statement_names(batch);
         let changes_a_dependency = |context: &BatchContext| {
--- a/src/front/postgres/session.rs
+++ b/src/front/postgres/session.rs
@@ -73,8 +73,8 @@
         self.statements.text_bytes()
     }
 
-    /// Stores a prepared statement under a name, by the message with this index in its batch. Fails, without a
-    /// change, if the client's memory does not suffice.
+    /// Stores a prepared statement under a name, by the message with this index in its batch. Fails,
+    /// without a change, if the client's memory does not suffice.
     pub fn prepare(
         &mut self,
         name: &[u8],
--- a/src/front/postgres/statement_changes_tests.rs
+++ b/src/front/postgres/statement_changes_tests.rs
@@ -1,5 +1,5 @@
-//! The prepared statements of a connection, against a model of PostgreSQL's rules: batches in a pipeline that are
-//! refused, fail at any message, or are served.
+//! The prepared statements of a connection, against a model of PostgreSQL's rules: batches in a pipeline
+//! that are refused, fail at any message, or are served.
 
 use super::session_commits_tests::{config, message, settings};
 use crate::client::{BatchEnd, ClientBatch, ClientEvent};
@@ -211,8 +211,8 @@
     }
 }
 
-/// Guards against a statement that runs although a Parse, a Close or a query has ended it, and against one that is
-/// lost although the message that would have ended it was skipped.
+/// Guards against a statement that runs although a Parse, a Close or a query has ended it, and against
+/// one that is lost although the message that would have ended it was skipped.
 #[test]
 fn a_bind_uses_the_statement_that_postgresql_would_use() {
     for seed in 1..=200 {
--- a/src/front/postgres/statement_table.rs
+++ b/src/front/postgres/statement_table.rs
@@ -1,8 +1,8 @@
 //! The prepared statements of one connection, while batches that prepare or close them are unfinished.
 //!
-//! A Parse or a Close takes effect for the messages behind it when it is planned, before a member has answered
-//! it. Until then the table keeps what each name stood for before: a message that PostgreSQL would skip, behind
-//! an error in its implicit transaction, has no effect.
+//! A Parse or a Close takes effect for the messages behind it when it is planned, before a member has
+//! answered it. Until then the table keeps what each name stood for before: a message that PostgreSQL
+//! would skip, behind an error in its implicit transaction, has no effect.
 
 use super::analysis::AnalyzedStatement;
 use std::collections::BTreeMap;
--- a/src/model/needs.rs
+++ b/src/model/needs.rs
@@ -35,7 +35,8 @@
 }
 
 impl Needs {
-    /// The needs of a statement, which is of this class. `position` is the position that it must see; 0 for none.
+    /// The needs of a statement, which is of this class. `position` is the position that it must see; 0
+    /// for none.
     pub(crate) fn new(statement: &ExecutedStatement, class: &Class, position: Micros) -> Self {
         let idempotency = statement.idempotency(class);
         let staleness_bound = match class.requirement {
--- a/src/model/request.rs
+++ b/src/model/request.rs
@@ -100,8 +100,8 @@
     pub commits_known_since: Option<Micros>,
     /// The position that the endpoint must have reached, if known.
     pub min_position: Option<Micros>,
-    /// Whether the statement carries an idempotency key. Without one, no endpoint recognizes a repeat, whatever
-    /// the class says.
+    /// Whether the statement carries an idempotency key. Without one, no endpoint recognizes a repeat,
+    /// whatever the class says.
     pub has_key: bool,
 }
 
--- a/src/state/pending_request.rs
+++ b/src/state/pending_request.rs
@@ -19,9 +19,9 @@
     pub(crate) request: Request,
     /// The time until which the client waits for an answer.
     pub(crate) deadline: Micros,
-    /// The time after which an answer to one of the statements has no value: the deadline, or the end of the
-    /// latency objective if the statement's class gives late answers no value. No attempt starts after that time, but one that has started is
-    /// awaited until the deadline.
+    /// The time after which an answer to one of the statements has no value: the deadline, or the end of
+    /// the latency objective if the statement's class gives late answers no value. No attempt starts
+    /// after that time, but one that has started is awaited until the deadline.
     pub(crate) useful_until: Micros,
     /// What the request needs of the endpoint that executes it.
     pub(crate) needs: Needs,
