The tests of the extended front share a harness; the generated play is split

Change: TestFront and the encoders of messages serve the three tests that drive the front; settings and batches of the generated play have files of their own. No check changes.

--- a/src/front/postgres/batch_needs_tests/mod.rs
+++ b/src/front/postgres/batch_needs_tests/mod.rs
@@ -2,6 +2,7 @@
 //! attempt leaves the model's answer, and none is refused or sent to the primary while a replica is in
 //! it.
 
+mod draws;
 mod model;
 mod play;
 
--- a/src/front/postgres/batch_needs_tests/play.rs
+++ b/src/front/postgres/batch_needs_tests/play.rs
@@ -1,18 +1,17 @@
 //! One play: clients with batches, a front, a router, and members that fall behind, fail and change roles.
 
-use super::super::session_commits_tests::message;
+use super::super::test_front::{TestFront, bind, config, execute, message, parse, served};
+use super::draws::draw_settings;
 use super::model::{Executed, Member};
-use crate::client::{BatchEnd, ClientBatch, ClientEvent, ClientId};
-use crate::core::FinalAnswer;
-use crate::exchange::MemberResponse;
-use crate::front::postgres::{ExtendedListenerConfig, Postgres, PostgresLimits};
-use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
-use crate::memory_budget::MemoryBudget;
-use crate::pg::message_tags::{backend, frontend};
+use crate::client::{BatchEnd, ClientId};
+use crate::core::{FinalAnswer, NewRequest};
+use crate::exchange::{MemberRequest, MemberResponse};
+use crate::pg::message_tags::backend;
 use crate::random::RandomSource;
 use crate::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
+
+mod batches;
 
 const MS: Micros = 1000;
 const START: Micros = 1_000_000 * MS;
@@ -93,8 +92,7 @@
     /// No member fails or changes its role, so that every batch has to be served.
     is_calm: bool,
     keeps_few_commits: bool,
-    manager: ConnectionManager<Postgres>,
-    registry: RequestRegistry,
+    front: TestFront,
     router: Router,
     clients: BTreeMap<ClientId, Client>,
     members: Vec<Member>,
@@ -115,21 +113,8 @@
         let mut random = RandomSource::new(seed);
         let settings = draw_settings(&mut random);
         let few = random.below(3) == 0;
-        let config = ExtendedListenerConfig {
-            listen: ([127, 0, 0, 1], 0).into(),
-            read_class: "c0".to_string(),
-            write_class: "c0".to_string(),
-            group: 0,
-            wait_ms: 1000,
-            session_parameter: 1,
-            key_parameter: 0,
-            statements: 256,
-        };
-        let limits = PostgresLimits {
-            session_memory: MemoryBudget::new(1 << 20, 0, 1),
-            commit_bytes: COMMIT_BYTES[usize::from(few)],
-        };
-        let postgres = Postgres::new(config, Arc::new(settings.clone()), limits, START).unwrap();
+        let commit_bytes = COMMIT_BYTES[usize::from(few)];
+        let front = TestFront::new(config("c0", "c0"), settings.clone(), commit_bytes, 1 << 20, START);
         let replica = || Member {
             role: Role::Replica,
             position: 0,
@@ -145,8 +130,7 @@
             router: Router::new(settings.clone(), seed, START),
             is_calm: random.below(2) == 0,
             keeps_few_commits: few,
-            manager: ConnectionManager::new(postgres, 1 << 20),
-            registry: RequestRegistry::default(),
+            front,
             clients: (1..=CLIENTS).map(|id| (id, Client::default())).collect(),
             lags: (0..=REPLICAS).map(|_| 5 * MS + random.below(3000) * MS).collect(),
             members,
@@ -178,10 +162,7 @@
         self.notify(Event::EndpointUpdate { complete: true, endpoints });
         self.apply_log();
         (0..=REPLICAS).for_each(|member| self.report(member));
-        (1..=CLIENTS).for_each(|client| {
-            let connected = ClientEvent::Connected { secret: 1 };
-            self.manager.handle_event(&mut self.registry, START, client, connected);
-        });
+        (1..=CLIENTS).for_each(|client| self.front.connect(client));
     }
 
     pub fn step(&mut self) {
@@ -408,8 +389,7 @@
             *commit = (*commit).max(position.unwrap_or(0));
         }
         self.served += 1;
-        let bytes = message(backend::DATA_ROW, b"");
-        self.answer(request, FinalAnswer::Served(MemberResponse { bytes, position, held: None }));
+        self.answer(request, served(message(backend::DATA_ROW, b""), position));
     }
 
     fn answer(&mut self, request: RequestId, answer: FinalAnswer<MemberResponse>) {
@@ -420,27 +400,23 @@
             client.prepared.retain(|name| !batch.parsed.contains(name));
             client.flushed.clear();
         }
-        assert_eq!(self.registry.close(request), Some(batch.client));
         self.now += 1;
-        let effects = self.manager.answer(&mut self.registry, self.now, batch.client, request, answer);
-        self.start(effects);
+        let started = self.front.answer(self.now, request, answer);
+        self.start(started);
     }
 
     /// Passes the request that the front has made of a batch to the router.
-    fn start(&mut self, effects: Vec<FrontEffect>) {
-        for effect in effects {
-            if let FrontEffect::StartRequest(started) = effect {
-                let mut request = started.request;
-                self.plant_fault(&mut request);
-                let batch = self.sent.take().expect("one request for each batch");
-                let id = request.id;
-                let is_served_by_replica = self.has_qualified_replica(&batch);
-                self.batches.insert(id, batch);
-                self.notify(Event::Request(request));
-                let waits = self.batches.get(&id).is_some_and(|batch| batch.attempts == 0);
-                if self.is_calm && waits && is_served_by_replica {
-                    self.violation(id, "waits though a replica is known to be fresh enough");
-                }
+    fn start(&mut self, started: Vec<NewRequest<MemberRequest>>) {
+        for NewRequest { mut request, .. } in started {
+            self.plant_fault(&mut request);
+            let batch = self.sent.take().expect("one request for each batch");
+            let id = request.id;
+            let is_served_by_replica = self.has_qualified_replica(&batch);
+            self.batches.insert(id, batch);
+            self.notify(Event::Request(request));
+            let waits = self.batches.get(&id).is_some_and(|batch| batch.attempts == 0);
+            if self.is_calm && waits && is_served_by_replica {
+                self.violation(id, "waits though a replica is known to be fresh enough");
             }
         }
     }
@@ -474,134 +450,6 @@
             }
         }
     }
-
-    fn send_batch(&mut self, id: ClientId) {
-        // The replies to earlier batches have been written before.
-        self.now += 1;
-        let mut batch = Batch { client: id, deadline: Micros::MAX, ..Batch::default() };
-        let mut messages = Vec::new();
-        let mut portals = std::mem::take(&mut self.clients.get_mut(&id).unwrap().flushed);
-        if portals.is_empty() {
-            portals = self.bind_portals(&mut batch, &mut messages);
-        }
-        let is_cut = !messages.is_empty() && self.random.below(4) == 0;
-        if is_cut {
-            self.clients.get_mut(&id).unwrap().flushed = portals;
-        } else {
-            portals.retain(|_| self.random.below(6) > 0);
-            self.execute_portals(portals, &mut batch, &mut messages);
-        }
-        if messages.is_empty() {
-            return;
-        }
-        self.sent = Some(batch);
-        self.clients.get_mut(&id).unwrap().is_busy = true;
-        let end = if is_cut { BatchEnd::Flush } else { BatchEnd::Sync };
-        let command = ClientBatch { received_at: self.now, messages, end, refusal: None };
-        let event = ClientEvent::Command(command);
-        let effects = self.manager.handle_event(&mut self.registry, self.now, id, event);
-        self.start(effects);
-        // A batch that the front has answered by itself.
-        if self.sent.take().is_some() {
-            self.clients.get_mut(&id).unwrap().is_busy = false;
-        }
-    }
-
-    /// Prepares and binds statements of drawn classes, some of which are then not executed.
-    fn bind_portals(&mut self, batch: &mut Batch, messages: &mut Vec<Vec<u8>>) -> Vec<Portal> {
-        let mut portals = Vec::new();
-        for number in 0..1 + self.random.below(MAX_STATEMENTS) {
-            let class = self.random.below(self.settings.classes.len() as u64) as usize;
-            let session = match self.random.below(SESSIONS + 1) {
-                0 => String::new(),
-                session => session.to_string(),
-            };
-            let statement = format!("c{class}");
-            if self.clients.get_mut(&batch.client).unwrap().prepared.insert(statement.clone()) {
-                messages.push(self.parse(class));
-                batch.parsed.push(statement);
-            }
-            if self.random.below(8) > 0 {
-                let portal = Portal { name: format!("p{number}"), class, session };
-                messages.push(bind(&portal));
-                portals.push(portal);
-            }
-        }
-        portals
-    }
-
-    fn execute_portals(&self, portals: Vec<Portal>, batch: &mut Batch, messages: &mut Vec<Vec<u8>>) {
-        // A statement without a session may be on behalf of each session of its batch.
-        let mut sessions: BTreeSet<_> = portals.iter().map(|portal| portal.session.clone()).collect();
-        sessions.retain(|session| !session.is_empty());
-        if sessions.is_empty() {
-            sessions.insert(unknown_session(batch.client));
-        }
-        for Portal { name, class, session } in portals {
-            messages.push(message(frontend::EXECUTE, format!("{name}\0\0\0\0\0").as_bytes()));
-            batch.deadline = batch.deadline.min(self.now + timeout_ms(class) * MS);
-            let sessions = if session.is_empty() { sessions.clone() } else { BTreeSet::from([session]) };
-            batch.executed.extend(sessions.iter().map(|session| self.executed(class, session)));
-            if self.settings.classes[class].requirement == Requirement::Write {
-                batch.written.extend(sessions);
-            }
-        }
-    }
-
-    fn executed(&self, class: usize, session: &str) -> Executed {
-        let serves_stale = self.settings.endpoints_serve_stale();
-        // A session may have committed through an earlier process.
-        let is_known = !session.starts_with(UNKNOWN_SESSION);
-        let earlier = if serves_stale && is_known { START } else { 0 };
-        let commit = self.commits.get(session).copied();
-        let any_commit = self.commits.values().copied().max().filter(|_| self.keeps_few_commits && is_known);
-        let position = commit.unwrap_or(earlier);
-        let highest_position = position.max(any_commit.unwrap_or(0));
-        let position = if is_known { position } else { 0 };
-        let is_keyed = has_key(class);
-        let mut class = self.settings.classes[class].clone();
-        if matches!(class.idempotency, Idempotency::Keyed { .. }) && !is_keyed {
-            class.idempotency = Idempotency::AtMostOnce;
-        }
-        let reads_own = class.requirement == Requirement::ReadYourWrites;
-        Executed { class, position, highest_position: if reads_own { highest_position } else { 0 } }
-    }
-
-    fn parse(&self, class: usize) -> Vec<u8> {
-        let (name, timeout) = (format!("c{class}"), timeout_ms(class));
-        let verb = match self.settings.classes[class].requirement {
-            Requirement::Write => "insert into t values ($1)",
-            _ => "select 1 from t where ref = $1",
-        };
-        let key = if has_key(class) { ",k=1" } else { "" };
-        let text = format!("{name}\0{verb} /* c={name},d={timeout}{key} */\0\0\0");
-        message(frontend::PARSE, text.as_bytes())
-    }
-}
-
-fn bind(portal: &Portal) -> Vec<u8> {
-    let Portal { name, class, session } = portal;
-    let values = match session.as_str() {
-        "" => vec![0, 0],
-        _ => [&[0, 1][..], &(session.len() as u32).to_be_bytes(), session.as_bytes()].concat(),
-    };
-    let names = format!("{name}\0c{class}\0\0\0");
-    message(frontend::BIND, &[names.as_bytes(), &values, &[0, 0]].concat())
-}
-
-/// The name of the sessions of a client's statements that identify none. A later statement without a
-/// session on the same connection may be on behalf of the same one.
-fn unknown_session(client: ClientId) -> String {
-    format!("{UNKNOWN_SESSION}{client}")
-}
-
-/// Whether statements of the class name an idempotency key.
-fn has_key(class: usize) -> bool {
-    class.is_multiple_of(2)
-}
-
-fn timeout_ms(class: usize) -> u64 {
-    400 + 150 * class as u64
 }
 
 fn endpoint_id(index: usize) -> EndpointId {
@@ -620,53 +468,3 @@
         report: LoadReport::default(),
     })
 }
-
-/// The classes of the deployments, or drawn ones.
-fn draw_classes(random: &mut RandomSource) -> Vec<(Requirement, Idempotency)> {
-    use Idempotency::{AtMostOnce, Idempotent, Keyed};
-    use Requirement::{Any, BoundedStaleness, Latest, ReadYourWrites, Write};
-    let keyed = |window, across_groups| Keyed { window, across_groups };
-    let safe = |requirement| (requirement, Idempotent);
-    match random.below(6) {
-        0 => [ReadYourWrites, Any, Latest].map(safe).into_iter().chain([(Write, AtMostOnce)]).collect(),
-        1 => {
-            let reads = [BoundedStaleness(800 * MS), ReadYourWrites, Any].map(safe);
-            reads.into_iter().chain([(Write, AtMostOnce)]).collect()
-        }
-        2 => {
-            let reads = [BoundedStaleness(300 * MS), ReadYourWrites, Any, Latest].map(safe);
-            reads.into_iter().chain([(Write, keyed(2000 * MS, true))]).collect()
-        }
-        _ => {
-            let mut draw = || {
-                let bound = BoundedStaleness(random.below(4000) * MS);
-                let requirements = [Write, Latest, ReadYourWrites, bound, bound, Any];
-                let key = keyed(100 * MS + random.below(1500) * MS, random.below(2) == 0);
-                let idempotency = [Idempotent, Idempotent, key, AtMostOnce][random.below(4) as usize];
-                (requirements[random.below(6) as usize], idempotency)
-            };
-            (0..6).map(|_| draw()).collect()
-        }
-    }
-}
-
-fn draw_settings(random: &mut RandomSource) -> Settings {
-    let classes = draw_classes(random);
-    let class_names = (0..classes.len()).map(|class| format!("c{class}")).collect();
-    let mut class = |(requirement, idempotency)| Class {
-        requirement,
-        idempotency,
-        latency_objective: 400 * MS + random.below(400) * MS,
-        deadline: 2000 * MS,
-        priority_weight: 1.0 + random.below(5) as f64,
-        late_value: random.below(2) as f64 / 2.0,
-    };
-    let classes = classes.into_iter().map(&mut class).collect();
-    let behavior = match random.below(4) {
-        0 => StaleReadBehavior::Reject,
-        1 => StaleReadBehavior::WaitThenReject(50 * MS),
-        _ => StaleReadBehavior::Serve,
-    };
-    let remember_commits = random.below(3) == 0;
-    Settings { classes, class_names, stale_read_behavior: behavior, remember_commits, ..Settings::default() }
-}
--- a/src/front/postgres/mod.rs
+++ b/src/front/postgres/mod.rs
@@ -353,4 +353,6 @@
 #[cfg(test)]
 mod statement_changes_tests;
 #[cfg(test)]
+mod test_front;
+#[cfg(test)]
 mod tests;
--- a/src/front/postgres/session_commits_tests.rs
+++ b/src/front/postgres/session_commits_tests.rs
@@ -1,17 +1,13 @@
 //! The commits that reads must see, whatever answers arrive in whatever order on whichever connections.
 
+use super::test_front::{TestFront, bind, config, execute, message, parse, served};
 use crate::client::{BatchEnd, ClientBatch, ClientEvent, ClientId};
-use crate::core::FinalAnswer;
-use crate::exchange::MemberResponse;
-use crate::front::postgres::{ExtendedListenerConfig, Postgres, PostgresLimits};
+use crate::front::postgres::Postgres;
 use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
-use crate::memory_budget::MemoryBudget;
-use crate::pg::message_tags::{backend, frontend};
-use crate::pg::put_message;
+use crate::pg::message_tags::backend;
 use crate::random::RandomSource;
 use crate::{Class, Idempotency, Micros, Request, RequestId, Requirement, Settings};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 const CONNECTIONS: u64 = 4;
 const SESSIONS: u64 = 3;
@@ -48,11 +44,11 @@
 
 impl Harness {
     fn new(seed: u64, commit_bytes: usize) -> Harness {
-        let limits = PostgresLimits { session_memory: MemoryBudget::new(1 << 20, 0, 1), commit_bytes };
-        let postgres = Postgres::new(config(), Arc::new(settings()), limits, 0).unwrap();
+        let TestFront { manager, registry } =
+            TestFront::new(config(OWN, WRITE), settings(), commit_bytes, 4000, 0);
         let mut harness = Harness {
-            manager: ConnectionManager::new(postgres, 4000),
-            registry: RequestRegistry::default(),
+            manager,
+            registry,
             random: RandomSource::new(seed),
             running: BTreeMap::new(),
             confirmed: BTreeMap::new(),
@@ -112,15 +108,8 @@
         let timeout_ms = 1 + self.confirmed_before.len() as u64;
         let confirmed = self.confirmed.get(&(session, group as u32)).copied();
         self.confirmed_before.insert(timeout_ms * 1000, confirmed);
-        let statement = format!("\0{sql} /* c={class},cluster={group},d={timeout_ms} */\0\0\0");
-        let key = session.to_string();
-        let key_length = (key.len() as u32).to_be_bytes();
-        let bind = [b"\0\0\0\0\0\x01".as_slice(), &key_length, key.as_bytes(), b"\0\0"].concat();
-        let messages = vec![
-            message(frontend::PARSE, statement.as_bytes()),
-            message(frontend::BIND, &bind),
-            message(frontend::EXECUTE, b"\0\0\0\0\0"),
-        ];
+        let statement = format!("{sql} /* c={class},cluster={group},d={timeout_ms} */");
+        let messages = vec![parse("", &statement), bind("", "", Some(&session.to_string())), execute("")];
         let batch = ClientBatch { received_at: 0, messages, end: BatchEnd::Sync, refusal: None };
         self.handle(client, ClientEvent::Command(batch));
     }
@@ -147,7 +136,7 @@
             *last = position.max(*last);
         }
         assert_eq!(self.registry.close(id), Some(client));
-        let answer = FinalAnswer::Served(MemberResponse { bytes, position: Some(position), held: None });
+        let answer = served(bytes, Some(position));
         let effects = self.manager.answer(&mut self.registry, 0, client, id, answer);
         self.apply(effects);
     }
@@ -157,7 +146,7 @@
         let (id, Running { client, .. }) = self.running.pop_first().unwrap();
         assert_eq!(self.registry.close(id), Some(client));
         let bytes = message(backend::DATA_ROW, b"");
-        let answer = FinalAnswer::Served(MemberResponse { bytes, position: Some(position), held: None });
+        let answer = served(bytes, Some(position));
         let effects = self.manager.answer(&mut self.registry, 0, client, id, answer);
         self.apply(effects);
     }
@@ -175,25 +164,6 @@
     }
 }
 
-pub(super) fn message(tag: u8, body: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    put_message(&mut bytes, tag, &[body]);
-    bytes
-}
-
-pub(super) fn config() -> ExtendedListenerConfig {
-    ExtendedListenerConfig {
-        listen: ([127, 0, 0, 1], 0).into(),
-        read_class: OWN.to_string(),
-        write_class: WRITE.to_string(),
-        group: 0,
-        wait_ms: 1000,
-        session_parameter: 1,
-        key_parameter: 0,
-        statements: 8,
-    }
-}
-
 /// The position that the only statement of a request must see.
 fn min_position(request: &Request) -> Option<Micros> {
     request.statements[0].min_position
@@ -203,7 +173,7 @@
     settings().class(name.as_bytes()).unwrap()
 }
 
-pub(super) fn settings() -> Settings {
+fn settings() -> Settings {
     let class = |requirement| Class {
         requirement,
         idempotency: Idempotency::Idempotent,
--- a/src/front/postgres/statement_changes_tests.rs
+++ b/src/front/postgres/statement_changes_tests.rs
@@ -1,21 +1,17 @@
 //! The prepared statements of a connection, against a model of PostgreSQL's rules: batches in a pipeline
 //! that are refused, fail at any message, or are served.
 
-use super::session_commits_tests::{config, message, settings};
-use crate::client::{BatchEnd, ClientBatch, ClientEvent};
-use crate::core::FinalAnswer;
-use crate::exchange::{MemberRequest, MemberResponse};
+use super::test_front::{TestFront, bind, config, message, parse, served};
+use crate::client::{BatchEnd, ClientId};
+use crate::core::{FinalAnswer, NewRequest};
+use crate::exchange::MemberRequest;
 use crate::extended::ExtendedMessage;
-use crate::front::postgres::{Postgres, PostgresLimits};
-use crate::front::{ConnectionManager, FrontEffect, RequestRegistry};
-use crate::memory_budget::MemoryBudget;
 use crate::pg::message_tags::{backend, frontend};
 use crate::random::RandomSource;
-use crate::{Micros, RequestId};
+use crate::{Class, Idempotency, Micros, RequestId, Requirement, Settings};
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
-const CLIENT: u64 = 1;
+const CLIENT: ClientId = 1;
 const STEPS: usize = 300;
 /// The unnamed statement and two named ones.
 const NAMES: [&str; 3] = ["", "a", "b"];
@@ -37,8 +33,7 @@
 }
 
 struct Play {
-    manager: ConnectionManager<Postgres>,
-    registry: RequestRegistry,
+    front: TestFront,
     random: RandomSource,
     /// All batches of the connection, in order.
     batches: Vec<Batch>,
@@ -49,13 +44,10 @@
 
 impl Play {
     fn new(seed: u64) -> Play {
-        let limits = PostgresLimits { session_memory: MemoryBudget::new(1 << 20, 0, 1), commit_bytes: 4096 };
-        let postgres = Postgres::new(config(), Arc::new(settings()), limits, 0).unwrap();
-        let mut manager = ConnectionManager::new(postgres, 1 << 20);
-        let mut registry = RequestRegistry::default();
-        manager.handle_event(&mut registry, 0, CLIENT, ClientEvent::Connected { secret: 1 });
+        let mut front = TestFront::new(config("any", "any"), settings(), 4096, 1 << 20, 0);
+        front.connect(CLIENT);
         let (batches, queued) = (Vec::new(), VecDeque::new());
-        Play { manager, registry, random: RandomSource::new(seed), batches, queued, now: 0 }
+        Play { front, random: RandomSource::new(seed), batches, queued, now: 0 }
     }
 
     /// What a name stands for before batch `index`: PostgreSQL's rules, applied to the batches before.
@@ -94,21 +86,17 @@
         }
         let (commands, end) = match messages.as_slice() {
             [] => (vec![message(frontend::QUERY, b"select 0 /* c=any,d=900 */\0")], BatchEnd::Query),
-            messages => (messages.iter().flat_map(encode).collect(), BatchEnd::Sync),
+            messages => (messages.iter().map(encode).collect(), BatchEnd::Sync),
         };
         self.batches.push(Batch { messages, request: None, completed: None });
         self.queued.push_back(nth);
-        let refusal = None;
-        let batch = ClientBatch { received_at: self.now, messages: commands, end, refusal };
-        let event = ClientEvent::Command(batch);
-        let effects = self.manager.handle_event(&mut self.registry, self.now, CLIENT, event);
-        self.apply(effects);
+        let started = self.front.send(self.now, CLIENT, commands, end);
+        self.match_batches(started);
     }
 
     /// Matches requests and local answers with the batches, in order, and judges what they run.
-    fn apply(&mut self, effects: Vec<FrontEffect>) {
-        for effect in effects {
-            let FrontEffect::StartRequest(started) = effect else { continue };
+    fn match_batches(&mut self, started: Vec<NewRequest<MemberRequest>>) {
+        for started in started {
             let ran: Vec<_> = match &*started.work {
                 MemberRequest::Extended(batch) => batch.messages.iter().filter_map(bound_text).collect(),
                 MemberRequest::SimpleQuery { .. } => Vec::new(),
@@ -169,14 +157,13 @@
         }
         let answer = match is_refused {
             true => FinalAnswer::Rejected { retry_after: 0 },
-            false => FinalAnswer::Served(MemberResponse { bytes, position: None, held: None }),
+            false => served(bytes, None),
         };
         if is_refused {
             batch.completed = Some(0);
         }
-        assert_eq!(self.registry.close(request), Some(CLIENT));
-        let effects = self.manager.answer(&mut self.registry, self.now, CLIENT, request, answer);
-        self.apply(effects);
+        let started = self.front.answer(self.now, request, answer);
+        self.match_batches(started);
     }
 
     fn is_running(&self, index: usize) -> bool {
@@ -184,13 +171,23 @@
     }
 }
 
-fn encode(one: &Message) -> Vec<Vec<u8>> {
+fn settings() -> Settings {
+    let class = Class {
+        requirement: Requirement::Any,
+        idempotency: Idempotency::Idempotent,
+        latency_objective: 200_000,
+        deadline: 800_000,
+        priority_weight: 1.0,
+        late_value: 0.0,
+    };
+    Settings { classes: vec![class], class_names: vec!["any".to_string()], ..Settings::default() }
+}
+
+fn encode(one: &Message) -> Vec<u8> {
     match one {
-        Message::Parse(name, text) => {
-            vec![message(frontend::PARSE, format!("{name}\0{text}\0\0\0").as_bytes())]
-        }
-        Message::Close(name) => vec![message(frontend::CLOSE, format!("S{name}\0").as_bytes())],
-        Message::Run(name) => vec![message(frontend::BIND, format!("\0{name}\0\0\0\0\0\0\0").as_bytes())],
+        Message::Parse(name, text) => parse(name, text),
+        Message::Close(name) => message(frontend::CLOSE, format!("S{name}\0").as_bytes()),
+        Message::Run(name) => bind("", name, None),
     }
 }
 
