A batch keeps one statement for each class, and the list of its sessions

Cause: a request had a statement for each class and session. A batch of 160 KB can name some 5,000 sessions, and an execution without a session counts for all of them, so one batch could take 72 bytes for each pair of both: megabytes that no limit counts. Change: positions of all sessions are folded where the front knows the commits; where the router remembers them, only reads of own writes and writes keep a statement for each session. The order in a pipeline uses sorted lists of ids, 8 bytes a session; the position of a pipeline is that of the whole request again, as the router folds it anyway. The memory was not measured.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -37,11 +37,16 @@
 pub struct ParsedRequest {
     /// The index of the class under which the request is accounted.
     pub class: usize,
-    /// The statements that the request executes, each class and session once.
+    /// The statements that the request executes, each class once, or each class and session where the router
+    /// remembers commits.
     pub statements: Vec<ExecutedStatement>,
+    /// The sessions whose data the request reads or changes, sorted; 0 stands for an unknown one.
+    pub sessions: Vec<u64>,
+    /// Those of them whose commits it must see, sorted.
+    pub read_sessions: Vec<u64>,
     /// Whether the request changes data.
     pub writes: bool,
-    /// The sessions that it changes data for; 0 stands for an unknown one.
+    /// The sessions that it changes data for, sorted; 0 stands for an unknown one.
     pub written_sessions: Vec<u64>,
     /// The group that stores the data of the request.
     pub group: u32,
--- a/src/client/simple_query.rs
+++ b/src/client/simple_query.rs
@@ -113,6 +113,8 @@
         let request = ParsedRequest {
             class,
             statements: vec![executed],
+            sessions: vec![session],
+            read_sessions: vec![session],
             writes,
             written_sessions: if writes { vec![session] } else { Vec::new() },
             group,
--- a/src/front/pipeline.rs
+++ b/src/front/pipeline.rs
@@ -7,8 +7,8 @@
 use crate::client::{ParsedRequest, Refusal};
 use crate::core::FinalAnswer;
 use crate::exchange::MemberResponse;
-use crate::{ExecutedStatement, Micros, RequestId};
-use std::collections::{BTreeSet, VecDeque};
+use crate::{Micros, RequestId};
+use std::collections::VecDeque;
 
 /// The properties of a command that decide which other commands it may overlap.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,21 +17,26 @@
     writes: bool,
     /// The group that stores the data.
     group: u32,
-    /// The sessions whose data the command reads or writes; empty if one of them is unknown.
-    sessions: BTreeSet<u64>,
-    /// The sessions whose data the command changes; 0 stands for an unknown one.
-    written_sessions: BTreeSet<u64>,
+    /// The sessions whose data the command reads or changes, sorted; 0 stands for an unknown one.
+    sessions: Vec<u64>,
+    /// The sessions whose data the command changes, sorted; 0 stands for an unknown one.
+    written_sessions: Vec<u64>,
 }
 
 impl Access {
-    fn of(request: &ParsedRequest) -> Self {
-        let mut sessions: BTreeSet<u64> =
-            request.statements.iter().map(|statement| statement.session).collect();
-        if sessions.contains(&0) {
-            sessions.clear();
+    /// Takes the sessions out of a request, which has no other use for them.
+    fn take_from(request: &mut ParsedRequest) -> Self {
+        Access {
+            writes: request.writes,
+            group: request.group,
+            sessions: std::mem::take(&mut request.sessions),
+            written_sessions: std::mem::take(&mut request.written_sessions),
         }
-        let written_sessions = request.written_sessions.iter().copied().collect();
-        Access { writes: request.writes, group: request.group, sessions, written_sessions }
+    }
+
+    /// Whether a session is unknown, so that it may be any.
+    fn has_unknown_session(&self) -> bool {
+        self.sessions.first().is_none_or(|session| *session == 0)
     }
 
     /// Whether this command may start only after `earlier`, a command of the same connection, has finished.
@@ -39,12 +44,19 @@
     /// Within a group, a read must see earlier writes, writes must keep their order, and a read must not see
     /// a later write of its own session. An unknown session counts as equal to every other session.
     fn must_follow(&self, earlier: &Access) -> bool {
-        let are_known = !self.sessions.is_empty() && !earlier.sessions.is_empty();
-        let same_session = !are_known || !self.sessions.is_disjoint(&earlier.sessions);
+        let same_session = self.has_unknown_session()
+            || earlier.has_unknown_session()
+            || share_session(&self.sessions, &earlier.sessions);
         self.group == earlier.group && (earlier.writes || (self.writes && same_session))
     }
 }
 
+/// Whether a session is among both, which are sorted.
+fn share_session(sessions: &[u64], others: &[u64]) -> bool {
+    let (fewer, more) = if sessions.len() < others.len() { (sessions, others) } else { (others, sessions) };
+    fewer.iter().any(|session| more.binary_search(session).is_ok())
+}
+
 enum Stage<P: Protocol> {
     /// Read from the client, but not processed by the protocol yet.
     Queued(P::Command),
@@ -171,8 +183,8 @@
     }
 
     /// Records that a command is a request, which may start after the earlier commands that it must follow.
-    pub fn defer(&mut self, index: usize, request: ParsedRequest, context: P::Context) {
-        self.entries[index].access = Some(Access::of(&request));
+    pub fn defer(&mut self, index: usize, mut request: ParsedRequest, context: P::Context) {
+        self.entries[index].access = Some(Access::take_from(&mut request));
         self.entries[index].stage = Stage::Deferred(Box::new(request), context);
     }
 
@@ -190,16 +202,16 @@
         })
     }
 
-    /// Takes the request out of an entry and sets the positions that its reads must see. The entry keeps its
+    /// Takes the request out of an entry and sets the position that its reads must see. The entry keeps its
     /// place; the caller must then call [`Pipeline::mark_running`] or [`Pipeline::reply`].
     pub fn take_ready(&mut self, index: usize) -> Option<ReadyRequest> {
-        let positions = self.required_commit_positions(index);
+        let position = self.required_commit_position(index);
         let entry = &mut self.entries[index];
         match std::mem::replace(&mut entry.stage, Stage::Finished(Vec::new())) {
             Stage::Deferred(mut request, context) => {
                 let read_at = entry.read_at;
                 entry.stage = Stage::Running(0, context);
-                for (statement, position) in request.statements.iter_mut().zip(positions) {
+                for statement in &mut request.statements {
                     statement.min_position = statement.min_position.max(position);
                 }
                 Some(ReadyRequest { read_at, request: *request })
@@ -211,31 +223,25 @@
         }
     }
 
-    /// The position that each statement of a deferred request must see: the latest commit among earlier
-    /// writes of this connection to the request's group that belong to the statement's session, or whose
-    /// reply had not been written when the request arrived. `None` if there is no such commit.
+    /// The position that the reads of a deferred request must see: the latest commit among earlier writes of
+    /// this connection to the request's group that belong to one of the reads' sessions, or whose reply had
+    /// not been written when the request arrived. `None` if there is no such commit.
     ///
     /// A client that has received the reply to a write can name the commit's position in a read. For a write
     /// that was unanswered when the client sent the read, it cannot.
-    fn required_commit_positions(&self, index: usize) -> Vec<Option<Micros>> {
+    fn required_commit_position(&self, index: usize) -> Option<Micros> {
         let entry = &self.entries[index];
-        let Stage::Deferred(request, _) = &entry.stage else { return Vec::new() };
-        let of_group = |access: &Access| access.group == request.group;
+        let Stage::Deferred(request, _) = &entry.stage else { return None };
+        let replied = self.replied_writes.iter().filter(|writes| {
+            let same_session = share_session(&writes.access.written_sessions, &request.read_sessions);
+            writes.access.group == request.group && (same_session || entry.read_at <= writes.replied_at)
+        });
         let unreplied = self.entries.range(..index);
+        let of_group = |access: &Access| access.group == request.group;
         let unreplied = unreplied.filter(|earlier| earlier.access.as_ref().is_some_and(of_group));
-        let replied = self.replied_writes.iter().filter(|writes| of_group(&writes.access));
-        let (known, unknown): (Vec<_>, Vec<_>) =
-            replied.partition(|writes| entry.read_at <= writes.replied_at);
-        let of_connection = known.into_iter().map(|writes| writes.commit_position);
-        let of_connection =
-            of_connection.chain(unreplied.filter_map(|earlier| earlier.commit_position)).max();
-        let position_of = |statement: &ExecutedStatement| {
-            let is_of_session =
-                |writes: &&&RepliedWrites| writes.access.written_sessions.contains(&statement.session);
-            let of_session = unknown.iter().filter(is_of_session).map(|writes| writes.commit_position);
-            of_session.max().max(of_connection)
-        };
-        request.statements.iter().map(position_of).collect()
+        let replied_commits = replied.map(|writes| writes.commit_position);
+        let unreplied_commits = unreplied.filter_map(|earlier| earlier.commit_position);
+        replied_commits.chain(unreplied_commits).max()
     }
 
     /// Records the id under which a taken request is forwarded to the core.
--- a/src/front/postgres/analysis.rs
+++ b/src/front/postgres/analysis.rs
@@ -142,6 +142,8 @@
         Ok(ParsedRequest {
             class: class.unwrap_or(first.class),
             statements: self.executed_statements(batch, first.group),
+            sessions: executions.sessions_of(|_| true),
+            read_sessions: executions.sessions_of(|execution| self.reads_own_writes(execution.class)),
             writes: executions.iter().any(|execution| self.is_write_class(execution.class)),
             written_sessions: executions.sessions_of(|execution| self.is_write_class(execution.class)),
             group: first.group,
@@ -155,7 +157,8 @@
         })
     }
 
-    /// The executed statements, one for each class and session: a batch may execute thousands of portals.
+    /// The executed statements, one for each class: a batch may execute thousands of portals. Where the
+    /// router remembers commits, it needs the sessions of reads of own writes and of writes.
     fn executed_statements(&self, batch: &BatchStatements<'_>, group: u32) -> Vec<ExecutedStatement> {
         let executions = batch.executions;
         let classes: BTreeSet<usize> = executions.iter().map(|execution| execution.class).collect();
@@ -167,23 +170,34 @@
             // A client that names the last commit of its session knows of it, whatever this process knows.
             let are_named = executions.iter().filter(of_class).all(|one| one.required_position.is_some());
             let has_key = executions.iter().filter(of_class).all(|execution| execution.has_key);
-            for session in executions.sessions_of(|execution| execution.class == class) {
-                let mut statement =
-                    ExecutedStatement { min_position, has_key, ..ExecutedStatement::new(class, session) };
-                if !are_named {
-                    self.add_commits(&mut statement, batch, group);
-                }
+            let mut statement =
+                ExecutedStatement { min_position, has_key, ..ExecutedStatement::new(class, 0) };
+            let has_sessions = self.reads_own_writes(class) || self.is_write_class(class);
+            if !has_sessions {
                 executed.push(statement);
+                continue;
             }
+            let sessions = executions.sessions_of(|execution| execution.class == class);
+            if self.settings.remember_commits {
+                executed.extend(sessions.iter().map(|&session| ExecutedStatement { session, ..statement }));
+                continue;
+            }
+            for session in sessions.into_iter().filter(|_| !are_named) {
+                self.add_commit(&mut statement, SessionInGroup { session, group }, batch);
+            }
+            executed.push(statement);
         }
         executed
     }
 
-    /// Adds what the front knows of the commits of a statement's session. Where the router remembers commits,
-    /// it adds them itself.
-    fn add_commits(&self, statement: &mut ExecutedStatement, batch: &BatchStatements<'_>, group: u32) {
-        let session = SessionInGroup { session: statement.session, group };
-        if session.session == 0 || self.settings.remember_commits {
+    /// Adds what the front knows of a session's commits to a statement that reads or writes for the session.
+    fn add_commit(
+        &self,
+        statement: &mut ExecutedStatement,
+        session: SessionInGroup,
+        batch: &BatchStatements<'_>,
+    ) {
+        if session.session == 0 {
             return;
         }
         let commit = batch.commits.last(session);
@@ -193,6 +207,10 @@
         }
     }
 
+    fn reads_own_writes(&self, class: usize) -> bool {
+        self.settings.classes[class].requirement == Requirement::ReadYourWrites
+    }
+
     /// Whether a batch must not be executed twice.
     pub fn must_not_be_repeated(&self, request: &ParsedRequest) -> bool {
         let is_idempotent =
--- a/src/model/request.rs
+++ b/src/model/request.rs
@@ -92,7 +92,8 @@
 pub struct ExecutedStatement {
     /// The index of the class in [`Settings::classes`](crate::Settings::classes).
     pub class: usize,
-    /// The session whose data the statement reads or writes; 0 for none.
+    /// The session whose data the statement reads or writes; 0 for none, or for several whose commits the
+    /// other fields cover.
     pub session: u64,
     /// How long before the arrival of the request the session's last write was committed, if known.
     pub time_since_write: Option<Micros>,
